--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -8,7 +8,7 @@
 
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from martenstep.interface import (
     Action, Cancel, Count, Due, Effect, Event, Fail, Group, Left, Members, Outcome, Plan, Refuse, Request,
@@ -23,7 +23,8 @@
 NAME_LIVES = 2.5  # a name lives for this many periods: its own, and the next for the closing read
 WINDOW_START = 32.0  # counter calls out at once before anything is known of its speed
 WINDOW_MOST = 256.0  # and at most, lest a recovery take for ever to be noticed
-DOWN_AFTER = 3  # counter calls lost in a row that make it count as down: one or two are chance
+DOWN_AFTER = 3  # counter calls lost in a row, and ...
+DOWN_TIMES = 4.0  # ... this many time-outs without an answer, make it count as down: less is crowding
 RECHECK_MS = 250.0  # a counter that is down is tried with one call this often
 FLUSH_SHARE = 0.5  # units not yet reported are reported after this part of a period
 STALE_TOLERANCES = 4.0  # an entry is dropped when its TAT plus tolerance lies this many tolerances back
@@ -130,15 +131,17 @@
         self._calls: dict[int, Ledger] = {}
         self._window = WINDOW_START
         self._lost = 0
+        self._heard = math.nan  # when the counter last answered
+        self._down = False
         self._epoch = 0
-        self._next_try = -math.inf
+        self._next_try = self._cut_until = -math.inf
         self._swept = -math.inf
         self._started = math.nan
 
     def ledger(self, now: float, request: Request) -> Ledger:
         """The customer's ledger, new where it is not known; stale ones are dropped on the way."""
         if math.isnan(self._started):
-            self._started = now
+            self._started = self._heard = now
         if now - self._swept >= SWEEP_MS:
             self._swept = now
             self._ledgers = {key: led for key, led in self._ledgers.items() if not self._stale(led, now)}
@@ -163,7 +166,7 @@
         """Whether the counter is there and has room for a call."""
         if not self._settings.has_counter:
             return False
-        if self._lost >= DOWN_AFTER:
+        if self._down:
             return now >= self._next_try
         return len(self._calls) < self._window
 
@@ -185,7 +188,7 @@
         add = max(need, 0.0)
         led.owed = need - add
         out.append(self._call(led, name_of(led.customer, period), add, expire))
-        if self._lost >= DOWN_AFTER:
+        if self._down:
             self._next_try = now + RECHECK_MS
         return out
 
@@ -203,10 +206,13 @@
         current = event.name == name_of(led.customer, led.period)
         if event.verdict is not Verdict.OK:
             self._lost += 1
-            self._window = max(1.0, self._window / 2)
-            if self._lost == DOWN_AFTER:
+            if now >= self._cut_until:  # once for each round of calls
+                self._window = max(1.0, self._window / 2)
+                self._cut_until = now + self._settings.counter_timeout_ms
+            quiet = now - self._heard >= DOWN_TIMES * self._settings.counter_timeout_ms
+            if self._lost >= DOWN_AFTER and quiet and not self._down:
+                self._down = True
                 self._epoch += 1  # what the counter tells next may lack what it told before
-            if self._lost >= DOWN_AFTER:
                 self._next_try = now + RECHECK_MS
             if event.verdict is Verdict.TIMEOUT:
                 led.maybe += units
@@ -214,7 +220,7 @@
                 led.owed += units
             led.told = False
             return led, False
-        self._lost = 0
+        self._lost, self._down, self._heard = 0, False, now
         self._window = min(WINDOW_MOST, self._window + 1 / self._window)
         base = led.base if current else led.last_base
         others = event.total - base - units
@@ -267,6 +273,7 @@
     def __init__(self, settings: Settings, rng: random.Random) -> None:
         self._settings, self._rng = settings, rng
         self._peers: dict[int, Peer] = {}
+        self._up: list[Peer] = []
         self._guess = GUESS_OF_AIM * min((c.aim_ms for c in settings.classes), default=SECOND_MS)
         self._mean = self._guess
         self._sent, self._sent_at = 0.0, 0.0
@@ -294,6 +301,7 @@
             peer.info = server
             peer.warm_from = max(peer.warm_from, server.started_ms)
         self._peers = {k: p for k, p in self._peers.items() if p.info.state is not State.GONE or p.out}
+        self._up = [p for p in self._peers.values() if p.info.state is State.UP]
 
     def _expect(self, peer: Peer) -> float:
         unit = peer.unit if peer.known else self._mean / max(peer.info.size, 0.1)
@@ -310,7 +318,7 @@
         if peer.warm_from <= 0 or age >= s.warm_within_ms:
             return 0.0
         part = s.cold_from + (1 - s.cold_from) * max(age, 0.0) / s.warm_within_ms
-        usual = self.send_rate(now) / max(1, sum(1 for p in self._peers.values() if p.info.state is State.UP))
+        usual = self.send_rate(now) / max(1, len(self._up))
         least = COLD_LEAST / max(s.fall_window_ms, SECOND_MS)
         return 1 / max(COLD_SAFETY * s.fall_multiple * part * usual, least)
 
@@ -318,26 +326,23 @@
         """Own sends per millisecond."""
         return self._sent * math.exp(-(now - self._sent_at) / RATE_TAU_MS) / RATE_TAU_MS
 
-    def pick(self, now: float, allowed: Callable[[Server], bool], tried: Iterable[int]) -> tuple[int, float] | None:
+    def pick(self, now: float, allowed: Callable[[Server], bool] | None, tried: list[int]) -> tuple[int, float] | None:
         """The server with the least expected delay, and that delay; None where none may be used."""
-        tried = set(tried)
-        up = [p for p in self._peers.values() if p.info.state is State.UP]
-        sound = [p for p in up if not p.trial_ms]
-        panic = len(sound) < SOUND_SHARE * len(up)
+        panic = sum(1 for p in self._up if not p.trial_ms) < SOUND_SHARE * len(self._up)
         best: tuple[float, Peer] | None = None
-        for peer in up:
-            if not allowed(peer.info) or now < peer.barred_until and not (panic and peer.trial_ms):
-                continue
-            if peer.trial_ms and not panic and peer.out:
+        home, draw = self._settings.zone, self._rng.random
+        for peer in self._up:
+            trial = peer.trial_ms > 0 and not panic
+            if now < peer.cold_tat or now < peer.barred_until and (trial or not peer.trial_ms):
                 continue
-            if now < peer.cold_tat and self._cold_gap(now, peer):
+            if trial and peer.out or allowed and not allowed(peer.info):
                 continue
-            cost = self._expect(peer) * (1 + FAIL_COST * peer.failing) * (1 + JITTER * self._rng.random())
-            if peer.info.zone != self._settings.zone:
+            cost = self._expect(peer) * (1 + FAIL_COST * peer.failing) * (1 + JITTER * draw())
+            if peer.info.zone != home:
                 cost *= OTHER_ZONE
             if peer.info.id in tried:
                 cost *= FAIL_COST
-            if peer.trial_ms and not panic:
+            if trial:
                 cost = 0.0  # its turn for a trial
             if best is None or cost < best[0]:
                 best = cost, peer
@@ -513,7 +518,6 @@
         if answer is None:
             return []
         led, good = answer
-        led.told = good and (led.told or not led.pending or len(led.asked) > 0 or True)
         if led.asked:
             return []
         actions: list[Action] = []
@@ -551,26 +555,26 @@
         self._drop(job.request.id)
         return [Refuse(job.request.id, max(wait, 1.0))]
 
-    def _allowed(self, now: float, job: Job) -> Callable[[Server], bool] | None:
-        """Which servers the class's rule on repeats leaves; None where no further attempt may go out."""
+    def _allowed(self, now: float, job: Job) -> Callable[[Server], bool] | None | bool:
+        """Which servers the class's rule on repeats leaves: a test, None for all, False for none."""
         risk = job.first_risk
         if risk is None or job.cls.effect is Effect.SAFE:
-            return lambda server: True
-        if job.cls.effect is Effect.UNSAFE or now >= risk[1] + job.cls.window_ms:
             return None
+        if job.cls.effect is Effect.UNSAFE or now >= risk[1] + job.cls.window_ms:
+            return False
         first = self._sites[risk[0]]
         if job.cls.group is Group.ZONE:
             return lambda server: server.zone == first.zone
         if job.cls.group is Group.CELL:
             return lambda server: server.cell == first.cell
-        return lambda server: True
+        return None
 
     def _send(self, now: float, job: Job) -> list[Action]:
         """Start an attempt where it can still be answered in time, else give the final answer."""
         left = job.deadline - now
         aim_left = min(job.arrived + job.cls.aim_ms, job.deadline) - now
         allowed = self._allowed(now, job)
-        if allowed is None or left <= self._settings.tick_ms or len(job.attempts) >= self._settings.max_attempts:
+        if allowed is False or left <= self._settings.tick_ms or len(job.attempts) >= self._settings.max_attempts:
             return self._give_up(now, job)
         choice = self._fleet.pick(now, allowed, job.attempts)
         if choice is None or choice[1] > FIT_OF_AIM * aim_left:
