--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -31,6 +31,9 @@
 SWEEP_MS = 2000.0  # how often stale entries are looked for
 # Servers
 EWMA_GAIN = 0.15  # weight of a new latency or failure: about the last six answers count
+BASE_GAIN_DOWN = 0.1  # an answer below the base latency pulls it down by this, ...
+BASE_GAIN_UP = 0.02  # ... one above it lifts it by this: it settles where few answers come sooner
+QUEUE_TAU_MS = 1000.0  # how fast news of a queue fades: about the time in which one is worked off
 RATE_TAU_MS = 3000.0  # memory of the own send rate, long against a tick and short against a ramp
 GUESS_OF_AIM = 0.12  # an unseen server is taken to answer in this part of the shortest aim
 OTHER_ZONE = 1.06  # a server elsewhere must be this much quicker to be worth the crossing
@@ -250,14 +253,15 @@
 class Peer:
     """What this gateway knows of one server."""
 
-    __slots__ = ("info", "out", "unit", "failing", "fails", "answered", "barred_until", "trial_ms", "warm_from",
-                 "cold_tat", "known")
+    __slots__ = ("info", "out", "base", "latency", "behind", "timed", "failing", "fails", "answered",
+                 "barred_until", "trial_ms", "warm_from", "cold_tat")
 
     def __init__(self, info: Server) -> None:
         self.info = info
         self.out: dict[tuple[str, int], tuple[float, int]] = {}  # attempts out: when sent, and behind how many
-        self.unit = 0.0  # EWMA of latency over own attempts ahead, itself included
-        self.known = False
+        self.base = 0.0  # latency with no queue: follows low answers fast and high ones slowly; 0: unknown
+        self.latency = self.behind = 0.0  # EWMA of latency, and of own attempts out when the answered was sent
+        self.timed = -math.inf  # when the latency was last measured
         self.failing = 0.0  # EWMA of failures
         self.fails = 0  # in a row
         self.answered = -math.inf
@@ -274,8 +278,8 @@
         self._settings, self._rng = settings, rng
         self._peers: dict[int, Peer] = {}
         self._up: list[Peer] = []
-        self._guess = GUESS_OF_AIM * min((c.aim_ms for c in settings.classes), default=SECOND_MS)
-        self._mean = self._guess
+        self._aim = min((c.aim_ms for c in settings.classes), default=SECOND_MS)
+        self._mean = GUESS_OF_AIM * self._aim
         self._sent, self._sent_at = 0.0, 0.0
 
     def members(self, event: Members) -> None:
@@ -295,7 +299,7 @@
             if server.started_ms > peer.info.started_ms:
                 fresh = Peer(server)
                 fresh.out = peer.out
-                fresh.unit, fresh.known = peer.unit, peer.known
+                fresh.base = peer.base
                 self._peers[key] = fresh
             peer = self._peers[key]
             peer.info = server
@@ -303,13 +307,17 @@
         self._peers = {k: p for k, p in self._peers.items() if p.info.state is not State.GONE or p.out}
         self._up = [p for p in self._peers.values() if p.info.state is State.UP]
 
-    def _expect(self, peer: Peer) -> float:
-        unit = peer.unit if peer.known else self._mean / max(peer.info.size, 0.1)
-        return unit * (1 + len(peer.out))
+    def _expect(self, now: float, peer: Peer) -> tuple[float, float]:
+        """Latency without a queue, and the queue's delay; news of a queue fades, lest a server be shunned for
+        a queue that is long gone."""
+        if not peer.base:
+            return self._mean / max(peer.info.size, 0.1), 0.0
+        queue = max(peer.latency - peer.base, 0.0) * math.exp((peer.timed - now) / QUEUE_TAU_MS)
+        return peer.base, queue * (1 + len(peer.out)) / (1 + peer.behind)
 
-    def patience(self, peer_id: int, aim: float) -> float:
+    def patience(self, now: float, peer_id: int, aim: float) -> float:
         """How long without an answer is silence."""
-        return max(SILENT_TIMES * self._expect(self._peers[peer_id]), SILENT_OF_AIM * aim)
+        return max(SILENT_TIMES * sum(self._expect(now, self._peers[peer_id])), SILENT_OF_AIM * aim)
 
     def _cold_gap(self, now: float, peer: Peer) -> float:
         """The least time between sends to a server that is cold; 0 for a warm one."""
@@ -337,7 +345,8 @@
                 continue
             if trial and peer.out or allowed and not allowed(peer.info):
                 continue
-            cost = self._expect(peer) * (1 + FAIL_COST * peer.failing) * (1 + JITTER * draw())
+            base, queue = self._expect(now, peer)
+            cost = (base * (1 + len(peer.out)) + queue) * (1 + FAIL_COST * peer.failing) * (1 + JITTER * draw())
             if peer.info.zone != home:
                 cost *= OTHER_ZONE
             if peer.info.id in tried:
@@ -346,7 +355,7 @@
                 cost = 0.0  # its turn for a trial
             if best is None or cost < best[0]:
                 best = cost, peer
-        return None if best is None else (best[1].info.id, self._expect(best[1]))
+        return None if best is None else (best[1].info.id, sum(self._expect(now, best[1])))
 
     def sent(self, now: float, server: int, key: tuple[str, int]) -> None:
         """Book a send."""
@@ -370,16 +379,23 @@
         if event.verdict in (Verdict.OK, Verdict.ERROR, Verdict.FULL):
             peer.answered = now
         if event.verdict is Verdict.OK:
-            unit = event.rtt_ms / (1 + behind)
-            peer.unit = peer.unit + EWMA_GAIN * (unit - peer.unit) if peer.known else unit
-            peer.known = True
-            self._mean += EWMA_GAIN / max(1, len(self._peers)) * (unit - self._mean)
+            rtt = event.rtt_ms
+            if not peer.base:
+                peer.base = peer.latency = self._mean / max(peer.info.size, 0.1)
+            peer.base += (BASE_GAIN_DOWN if rtt < peer.base else BASE_GAIN_UP) * (rtt - peer.base)
+            peer.latency += EWMA_GAIN * (rtt - peer.latency)
+            peer.behind += EWMA_GAIN * (behind - peer.behind)
+            peer.timed = now
+            self._mean += EWMA_GAIN / max(1, len(self._up)) * (peer.base - self._mean)
             peer.fails = 0
             if peer.trial_ms:  # back from silence: presumed to have restarted, until the list says otherwise
                 peer.trial_ms, peer.barred_until = 0.0, -math.inf
                 peer.warm_from = now
         elif event.verdict is Verdict.FULL:
+            # A full queue is the longest there is, though its answer comes at once: without this a full
+            # server would look idle and draw all traffic.
             peer.barred_until = max(peer.barred_until, now + FULL_REST_MS)
+            peer.latency, peer.behind, peer.timed = max(peer.latency, self._aim), len(peer.out), now
             bad = False
         elif bad:
             peer.fails += 1
@@ -586,7 +602,7 @@
             job.ledger.open += 1
         job.attempts.append(server)
         job.out = True
-        patience = self._fleet.patience(server, job.cls.aim_ms)
+        patience = self._fleet.patience(now, server, job.cls.aim_ms)
         self._fleet.sent(now, server, (job.request.id, attempt))
         actions: list[Action] = [Send(job.request.id, server, left)]
         if self._settings.can_cancel and patience < left:
