--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -49,6 +49,11 @@
 COLD_SAFETY = 0.5  # part of a cold server's budget that is used: its size and the others' use are guesses
 COLD_LEAST = 0.5  # sends per fall window to a cold server when nothing is known of the usual load
 # Requests
+LIMIT_START = 6.0  # own attempts out at a server before its answers tell what it bears
+LIMIT_MOST = 64.0  # no bound is learnt beyond this: it would take too long to come down
+LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
+TARGET_OF_AIM = 0.35  # latency that keeps queues short: servers that hold much lose efficiency, and an
+TARGET_TIMES = 2.5  # answer must still fit its aim; but no less than so many queueless latencies
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
 RETRY_SHARE = 0.2  # further attempts per first send: bounds the extra load when much fails at once
 RETRY_SAVED = 20.0  # further attempts that may be saved up for the loss of a server
@@ -253,7 +258,7 @@
 class Peer:
     """What this gateway knows of one server."""
 
-    __slots__ = ("info", "out", "base", "latency", "behind", "timed", "failing", "fails", "answered",
+    __slots__ = ("info", "out", "base", "latency", "behind", "timed", "limit", "failing", "fails", "answered",
                  "barred_until", "trial_ms", "warm_from", "cold_tat")
 
     def __init__(self, info: Server) -> None:
@@ -261,6 +266,7 @@
         self.out: dict[tuple[str, int], tuple[float, int]] = {}  # attempts out: when sent, and behind how many
         self.base = 0.0  # latency with no queue: follows low answers fast and high ones slowly; 0: unknown
         self.latency = self.behind = 0.0  # EWMA of latency, and of own attempts out when the answered was sent
+        self.limit = LIMIT_START  # own attempts out at most
         self.timed = -math.inf  # when the latency was last measured
         self.failing = 0.0  # EWMA of failures
         self.fails = 0  # in a row
@@ -343,7 +349,7 @@
             trial = peer.trial_ms > 0 and not panic
             if now < peer.cold_tat or now < peer.barred_until and (trial or not peer.trial_ms):
                 continue
-            if trial and peer.out or allowed and not allowed(peer.info):
+            if len(peer.out) >= peer.limit or trial and peer.out or allowed and not allowed(peer.info):
                 continue
             base, queue = self._expect(now, peer)
             cost = (base * (1 + len(peer.out)) + queue) * (1 + FAIL_COST * peer.failing) * (1 + JITTER * draw())
@@ -387,6 +393,10 @@
             peer.behind += EWMA_GAIN * (behind - peer.behind)
             peer.timed = now
             self._mean += EWMA_GAIN / max(1, len(self._up)) * (peer.base - self._mean)
+            if peer.latency > max(TARGET_OF_AIM * self._aim, TARGET_TIMES * peer.base):
+                peer.limit = max(peer.limit - LIMIT_DOWN, 1.0)
+            else:
+                peer.limit = min(peer.limit + 1 / peer.limit, LIMIT_MOST)
             peer.fails = 0
             if peer.trial_ms:  # back from silence: presumed to have restarted, until the list says otherwise
                 peer.trial_ms, peer.barred_until = 0.0, -math.inf
@@ -396,6 +406,7 @@
             # server would look idle and draw all traffic.
             peer.barred_until = max(peer.barred_until, now + FULL_REST_MS)
             peer.latency, peer.behind, peer.timed = max(peer.latency, self._aim), len(peer.out), now
+            peer.limit = max(min(peer.limit, len(peer.out)) / 2, 1.0)
             bad = False
         elif bad:
             peer.fails += 1
