--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -42,6 +42,7 @@
 SILENT_TIMES = 4.0  # no answer for this many expected latencies is silence
 SILENT_OF_AIM = 0.35  # and no less than this part of the aim, so that one long request is not silence
 FAILS_TO_LEAVE = 3  # failures in a row that take a server out: two may be chance
+SILENT_TO_LEAVE = 2  # attempts given up with no answer between that take a server out: one may be just long
 FULL_REST_MS = 200.0  # a server that was full is left alone for this long: time to work off some queue
 TRIAL_MS = 1000.0  # a server taken out is tried again with one request after this long, then twice that ...
 TRIAL_MOST_MS = 8000.0  # ... up to this
@@ -398,9 +399,9 @@
             else:
                 peer.limit = min(peer.limit + 1 / peer.limit, LIMIT_MOST)
             peer.fails = 0
-            if peer.trial_ms:  # back from silence: presumed to have restarted, until the list says otherwise
-                peer.trial_ms, peer.barred_until = 0.0, -math.inf
+            if peer.trial_ms > 2 * TRIAL_MS:  # a trial failed too: so long a silence is presumed a restart
                 peer.warm_from = now
+            peer.trial_ms, peer.barred_until = 0.0, -math.inf
         elif event.verdict is Verdict.FULL:
             # A full queue is the longest there is, though its answer comes at once: without this a full
             # server would look idle and draw all traffic.
@@ -420,7 +421,9 @@
         peer = self._peers.get(server)
         if peer is None or key not in peer.out or now - peer.answered < patience:
             return False
-        self._leave(now, peer)
+        peer.fails += 1
+        if peer.fails >= SILENT_TO_LEAVE:
+            self._leave(now, peer)
         return True
 
     def _leave(self, now: float, peer: Peer) -> None:
