No cancel storms: a silent attempt is called off only where another can follow

Covers any slow-but-alive fleet; harm: in a real loss of half the fleet rescue waits for the client.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -56,7 +56,7 @@
 TARGET_OF_AIM = 0.35  # latency that keeps queues short: servers that hold much lose efficiency, and an
 TARGET_TIMES = 2.5  # answer must still fit its aim; but no less than so many queueless latencies
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
-RETRY_SHARE = 0.2  # further attempts per first send: bounds the extra load when much fails at once
+RETRY_SHARE = 0.1  # further attempts per first send: bounds the extra load when much fails at once
 RETRY_SAVED = 20.0  # further attempts that may be saved up for the loss of a server
 MASK = (1 << 63) - 1  # counter names are below 2^63
 
@@ -343,7 +343,7 @@
 
     def pick(self, now: float, allowed: Callable[[Server], bool] | None, tried: list[int]) -> tuple[int, float] | None:
         """The server with the least expected delay, and that delay; None where none may be used."""
-        panic = sum(1 for p in self._up if not p.trial_ms) < SOUND_SHARE * len(self._up)
+        panic = self._panic()
         best: tuple[float, Peer] | None = None
         home, draw = self._settings.zone, self._rng.random
         for peer in self._up:
@@ -421,10 +421,18 @@
         peer = self._peers.get(server)
         if peer is None or key not in peer.out or now - peer.answered < patience:
             return False
+        # What the attempt has waited is the least its answer would have taken: without this a slow fleet would
+        # never show in the latencies, as only the quick answers were ever counted.
+        peer.latency = max(peer.latency, now - peer.out[key][0])
+        peer.timed = now
         peer.fails += 1
         if peer.fails >= SILENT_TO_LEAVE:
             self._leave(now, peer)
-        return True
+        return not self._panic()
+
+    def _panic(self) -> bool:
+        """So few sound servers that the network, or overload, is more likely than so many losses."""
+        return sum(1 for p in self._up if not p.trial_ms) < SOUND_SHARE * len(self._up)
 
     def _leave(self, now: float, peer: Peer) -> None:
         if not peer.trial_ms:
@@ -658,6 +666,9 @@
         job = self._jobs.get(rid)
         if job is None or not job.out or len(job.attempts) != attempt + 1:
             return []
-        if self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience):
+        silent = self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience)
+        # Only where another attempt can follow: in an overload everything is slow, and calling it off would
+        # waste the work done and put the same load on once more.
+        if silent and self._retries >= 1 and len(job.attempts) < self._settings.max_attempts:
             return [Cancel(rid, attempt)]
         return []
