--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -244,7 +244,7 @@
             quota.tat = max(quota.tat, now + quota.tolerance * (1 - 1 / led.spread))
             led.epoch = self._epoch
         if others > 0:
-            led.quota.take(others, now)
+            led.quota.take(others, led.seen)
         if current:
             led.base = event.total
             led.seen = now
