--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -82,9 +82,13 @@
         self.tolerance = burst * self.per_unit if rate > 0 else 0.0
         self.tat = tat
 
-    def wait(self, now: float) -> float:
-        """How long until a request conforms; 0 or less where it does now."""
-        return self.tat - self.tolerance - now
+    def wait(self, now: float, units: float) -> float:
+        """How long until a request conforms; 0 or less where it does now.
+
+        The tolerance is taken for the whole request, so that the burst holds its units: a plain TAT test would
+        let one request more through after each idle spell, which the plan counts as beyond the quota.
+        """
+        return self.tat - now + min(units * self.per_unit - self.tolerance, 0.0)
 
     def room(self, now: float) -> float:
         """Units left of the burst."""
@@ -518,7 +522,7 @@
         job = self._jobs[event.id] = Job(event, cls, led, now)
         if led.plan.rate <= 0:
             return self._send(now, job)
-        wait = led.quota.wait(now)
+        wait = led.quota.wait(now, event.units)
         if wait > 0:
             return self._beyond(now, job, wait)
         if self._quota.can_ask(now) and event.remaining_ms > 2 * self._settings.counter_timeout_ms:
@@ -533,7 +537,7 @@
     def _unconfirmed(self, now: float, job: Job) -> list[Action]:
         """Decide without the counter: the own part of the quota, and of the ceiling's headroom."""
         led, units = job.ledger, job.request.units
-        wait = max(led.quota.wait(now), led.own.wait(now))
+        wait = max(led.quota.wait(now, units), led.own.wait(now, units))
         if wait > 0:
             return self._beyond(now, job, wait)
         if led.head and led.head.room(now) < units:
@@ -568,7 +572,7 @@
                 led.owed -= job.request.units  # it is in the call already, if in any
                 actions += self._unconfirmed(now, job)
                 continue
-            wait = led.quota.wait(now)
+            wait = led.quota.wait(now, job.request.units)
             if wait > 0:
                 led.owed -= job.request.units
                 actions += self._beyond(now, job, wait)
