--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -231,7 +231,6 @@
                 led.maybe += units
             else:
                 led.owed += units
-            led.told = False
             return led, False
         self._lost, self._down, self._heard = 0, False, now
         self._window = min(WINDOW_MOST, self._window + 1 / self._window)
@@ -247,7 +246,16 @@
             quota = led.quota  # as a new customer: others may have sent what was never told
             quota.tat = max(quota.tat, now + quota.tolerance * (1 - 1 / led.spread))
             led.epoch = self._epoch
-        if others > 0:
+        if not led.told:
+            # The start value stands in only until the counter has told of a customer that is new here: then
+            # what was used in the period before, and since, is known, if not just when.
+            if current:
+                begun = led.period * led.period_ms
+                quota = led.quota
+                quota.tat = max(begun - led.period_ms / 2 + led.last_base * quota.per_unit, begun)
+                quota.tat = max(quota.tat + others * quota.per_unit, now)
+                led.told = True
+        elif others > 0:
             led.quota.take(others, led.seen)
         if current:
             led.base = event.total
@@ -544,6 +552,7 @@
             return self._refuse(now, job, led.head.per_unit)
         actions = self._send(now, job)
         if job.attempts:
+            led.told = True
             led.own.take(units, now)
             led.quota.take(units, now)
             led.owed += units
