--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -27,6 +27,7 @@
 DOWN_TIMES = 4.0  # ... this many time-outs without an answer, make it count as down: less is crowding
 RECHECK_MS = 250.0  # a counter that is down is tried with one call this often
 FLUSH_SHARE = 0.5  # units not yet reported are reported after this part of a period
+SHARE_PERIODS = 2.0  # memory of the others' rate: long against chance, short against a shift of traffic
 STALE_TOLERANCES = 4.0  # an entry is dropped when its TAT plus tolerance lies this many tolerances back
 SWEEP_MS = 2000.0  # how often stale entries are looked for
 # Servers
@@ -103,7 +104,7 @@
     """What this gateway knows of one customer's use."""
 
     __slots__ = ("plan", "customer", "spread", "quota", "own", "head", "period_ms", "period", "base", "last_base",
-                 "owed", "maybe", "asked", "pending", "waiting", "seen", "epoch", "told", "used", "open", "flush_at")
+                 "owed", "maybe", "others", "asked", "pending", "waiting", "seen", "epoch", "told", "used", "open", "flush_at")
 
     def __init__(self, plan: Plan, customer: int, spread: int, now: float, started: float, epoch: int) -> None:
         self.plan, self.customer, self.spread = plan, customer, spread
@@ -121,6 +122,7 @@
         self.period_ms = min(max(length, PERIOD_LEAST_MS), PERIOD_MOST_MS)
         self.period = -1
         self.base = self.last_base = 0.0  # totals last seen under this period's name and the one before
+        self.others = plan.rate * (1 - 1 / spread)  # EWMA of the others' units a second
         self.owed = 0.0  # units sent and in no call yet; below 0: reported but not sent
         self.maybe = 0.0  # units in calls that timed out
         self.asked: dict[int, float] = {}  # names with a call out and the units in it
@@ -134,6 +136,13 @@
         self.flush_at = 0.0
 
 
+    def assume_others(self) -> None:
+        """Unheard, the others are taken to go on as last seen, and to leave this gateway 1/g at the least."""
+        part = max(1 - self.others / self.plan.rate, 1 / self.spread)
+        self.own.per_unit = self.quota.per_unit / part
+        self.own.tolerance = self.quota.tolerance
+
+
 class Quota:
     """Keeps every customer's ledger and the calls to the counter."""
 
@@ -145,7 +154,7 @@
         self._window = WINDOW_START
         self._lost = 0
         self._heard = math.nan  # when the counter last answered
-        self._down = False
+        self._down = self._doubted = False
         self._epoch = 0
         self._next_try = self._cut_until = -math.inf
         self._swept = -math.inf
@@ -225,7 +234,7 @@
             quiet = now - self._heard >= DOWN_TIMES * self._settings.counter_timeout_ms
             if self._lost >= DOWN_AFTER and quiet and not self._down:
                 self._down = True
-                self._epoch += 1  # what the counter tells next may lack what it told before
+                self._doubted = True
                 self._next_try = now + RECHECK_MS
             if event.verdict is Verdict.TIMEOUT:
                 led.maybe += units
@@ -239,6 +248,8 @@
         if others < 0:  # the counter forgot: what it holds now is all new, and the TAT stays
             others = event.total - units
             led.epoch = -1
+            self._epoch += self._doubted  # once for each outage: every name may lack units
+            self._doubted = False
         elif current and led.maybe:
             others = max(others - led.maybe, 0.0)
             led.maybe = 0.0
@@ -257,6 +268,9 @@
                 led.told = True
         elif others > 0:
             led.quota.take(others, led.seen)
+        if current and now > led.seen:
+            weight = 1 - math.exp((led.seen - now) / (SHARE_PERIODS * led.period_ms))
+            led.others += weight * (others / (now - led.seen) * SECOND_MS - led.others)
         if current:
             led.base = event.total
             led.seen = now
@@ -545,6 +559,7 @@
     def _unconfirmed(self, now: float, job: Job) -> list[Action]:
         """Decide without the counter: the own part of the quota, and of the ceiling's headroom."""
         led, units = job.ledger, job.request.units
+        led.assume_others()
         wait = max(led.quota.wait(now, units), led.own.wait(now, units))
         if wait > 0:
             return self._beyond(now, job, wait)
