--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -654,8 +654,11 @@
         job.out = True
         patience = self._fleet.patience(now, server, job.cls.aim_ms)
         self._fleet.sent(now, server, (job.request.id, attempt))
-        actions: list[Action] = [Send(job.request.id, server, left)]
-        if self._settings.can_cancel and patience < left:
+        # Past its aim an answer earns late_share: where that is nothing, work still waiting then is let go, so
+        # that queues hold only what can still be of use.
+        limit = left if job.cls.late_share > 0 else min(left, aim_left)
+        actions: list[Action] = [Send(job.request.id, server, limit)]
+        if self._settings.can_cancel and patience < limit:
             actions.append(self._wake(now + patience, job.request.id, attempt, patience))
         return actions
 
