--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -432,10 +432,11 @@
             # A full queue is the longest there is, though its answer comes at once: without this a full
             # server would look idle and draw all traffic.
             peer.barred_until = max(peer.barred_until, now + FULL_REST_MS)
-            peer.latency, peer.behind, peer.timed = max(peer.latency, self._aim), len(peer.out), now
-            peer.limit = max(min(peer.limit, len(peer.out)) / 2, 1.0)
+            self._jammed(now, peer, self._aim)
             bad = False
         elif bad:
+            if event.verdict is Verdict.TIMEOUT:
+                self._jammed(now, peer, event.rtt_ms)
             peer.fails += 1
             if peer.fails >= FAILS_TO_LEAVE:
                 self._leave(now, peer)
@@ -449,8 +450,7 @@
             return False
         # What the attempt has waited is the least its answer would have taken: without this a slow fleet would
         # never show in the latencies, as only the quick answers were ever counted.
-        peer.latency = max(peer.latency, now - peer.out[key][0])
-        peer.timed = now
+        self._jammed(now, peer, now - peer.out[key][0])
         peer.fails += 1
         if peer.fails >= SILENT_TO_LEAVE:
             self._leave(now, peer)
@@ -460,6 +460,11 @@
         """So few sound servers that the network, or overload, is more likely than so many losses."""
         return sum(1 for p in self._up if not p.trial_ms) < SOUND_SHARE * len(self._up)
 
+    def _jammed(self, now: float, peer: Peer, waited: float) -> None:
+        """No answer in time: the queue is this long at least, and work given up may still be in it."""
+        peer.latency, peer.behind, peer.timed = max(peer.latency, waited), len(peer.out), now
+        peer.limit = max(min(peer.limit, len(peer.out)) / 2, 1.0)
+
     def _leave(self, now: float, peer: Peer) -> None:
         if not peer.trial_ms:
             peer.trial_ms = TRIAL_MS
