--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -51,7 +51,7 @@
 COLD_SAFETY = 0.5  # part of a cold server's budget that is used: its size and the others' use are guesses
 COLD_LEAST = 0.5  # sends per fall window to a cold server when nothing is known of the usual load
 # Requests
-LIMIT_START = 6.0  # own attempts out at a server before its answers tell what it bears
+LIMIT_START = 8.0  # attempts out at a server, of all gateways together, before answers tell what it bears
 LIMIT_MOST = 64.0  # no bound is learnt beyond this: it would take too long to come down
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
 TARGET_OF_AIM = 0.35  # latency that keeps queues short: servers that hold much lose efficiency, and an
@@ -288,12 +288,12 @@
     __slots__ = ("info", "out", "base", "latency", "behind", "timed", "limit", "failing", "fails", "answered",
                  "barred_until", "trial_ms", "warm_from", "cold_tat")
 
-    def __init__(self, info: Server) -> None:
+    def __init__(self, info: Server, limit: float) -> None:
         self.info = info
         self.out: dict[tuple[str, int], tuple[float, int]] = {}  # attempts out: when sent, and behind how many
         self.base = 0.0  # latency with no queue: follows low answers fast and high ones slowly; 0: unknown
         self.latency = self.behind = 0.0  # EWMA of latency, and of own attempts out when the answered was sent
-        self.limit = LIMIT_START  # own attempts out at most
+        self.limit = limit  # own attempts out at most
         self.timed = -math.inf  # when the latency was last measured
         self.failing = 0.0  # EWMA of failures
         self.fails = 0  # in a row
@@ -311,6 +311,7 @@
         self._settings, self._rng = settings, rng
         self._peers: dict[int, Peer] = {}
         self._up: list[Peer] = []
+        self._start = max(LIMIT_START / settings.gateways, 1.0)
         self._aim = min((c.aim_ms for c in settings.classes), default=SECOND_MS)
         self._mean = GUESS_OF_AIM * self._aim
         self._sent, self._sent_at = 0.0, 0.0
@@ -327,10 +328,10 @@
         for key, server in listed.items():
             peer = self._peers.get(key)
             if peer is None:
-                self._peers[key] = Peer(server)
+                self._peers[key] = Peer(server, self._start)
                 continue
             if server.started_ms > peer.info.started_ms:
-                fresh = Peer(server)
+                fresh = Peer(server, self._start)
                 fresh.out = peer.out
                 fresh.base = peer.base
                 self._peers[key] = fresh
