--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -53,6 +53,7 @@
 # Requests
 LIMIT_START = 8.0  # attempts out at a server, of all gateways together, before answers tell what it bears
 LIMIT_MOST = 64.0  # no bound is learnt beyond this: it would take too long to come down
+LIMIT_USED = 0.8  # part of the limit that counts as reached
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
 TARGET_OF_AIM = 0.35  # latency that keeps queues short: servers that hold much lose efficiency, and an
 TARGET_TIMES = 2.5  # answer must still fit its aim; but no less than so many queueless latencies
@@ -423,7 +424,7 @@
             self._mean += EWMA_GAIN / max(1, len(self._up)) * (peer.base - self._mean)
             if peer.latency > max(TARGET_OF_AIM * self._aim, TARGET_TIMES * peer.base):
                 peer.limit = max(peer.limit - LIMIT_DOWN, 1.0)
-            else:
+            elif behind + 1 >= LIMIT_USED * peer.limit:  # only a limit that was reached has been shown to be borne
                 peer.limit = min(peer.limit + 1 / peer.limit, LIMIT_MOST)
             peer.fails = 0
             if peer.trial_ms > 2 * TRIAL_MS:  # a trial failed too: so long a silence is presumed a restart
