--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -663,7 +663,7 @@
         self._fleet.sent(now, server, (job.request.id, attempt))
         # Past its aim an answer earns late_share: where that is nothing, work still waiting then is let go, so
         # that queues hold only what can still be of use.
-        limit = left if job.cls.late_share > 0 else min(left, aim_left)
+        limit = left
         actions: list[Action] = [Send(job.request.id, server, limit)]
         if self._settings.can_cancel and patience < limit:
             actions.append(self._wake(now + patience, job.request.id, attempt, patience))
