--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -51,12 +51,12 @@
 COLD_SAFETY = 0.5  # part of a cold server's budget that is used: its size and the others' use are guesses
 COLD_LEAST = 0.5  # sends per fall window to a cold server when nothing is known of the usual load
 # Requests
-LIMIT_START = 8.0  # attempts out at a server, of all gateways together, before answers tell what it bears
+LIMIT_START = 6.0  # attempts out at a server, of all gateways together, before answers tell what it bears
 LIMIT_MOST = 64.0  # no bound is learnt beyond this: it would take too long to come down
 LIMIT_USED = 0.8  # part of the limit that counts as reached
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
-TARGET_OF_AIM = 0.35  # latency that keeps queues short: servers that hold much lose efficiency, and an
-TARGET_TIMES = 2.5  # answer must still fit its aim; but no less than so many queueless latencies
+TARGET_OF_AIM = 0.25  # latency that keeps queues short: servers that hold much lose efficiency, and an
+TARGET_TIMES = 2.0  # answer must still fit its aim; but no less than so many queueless latencies
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
 RETRY_SHARE = 0.1  # further attempts per first send: bounds the extra load when much fails at once
 RETRY_SAVED = 20.0  # further attempts that may be saved up for the loss of a server
@@ -661,11 +661,8 @@
         job.out = True
         patience = self._fleet.patience(now, server, job.cls.aim_ms)
         self._fleet.sent(now, server, (job.request.id, attempt))
-        # Past its aim an answer earns late_share: where that is nothing, work still waiting then is let go, so
-        # that queues hold only what can still be of use.
-        limit = left
-        actions: list[Action] = [Send(job.request.id, server, limit)]
-        if self._settings.can_cancel and patience < limit:
+        actions: list[Action] = [Send(job.request.id, server, left)]
+        if self._settings.can_cancel and patience < left:
             actions.append(self._wake(now + patience, job.request.id, attempt, patience))
         return actions
 
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,84 @@
+"""Hand-made settings and events for the tests."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import TypeVar
+
+from martenstep import interface as api
+from martenstep.decide import Gateway
+
+SAFE = api.RequestClass("read", 1000.0, 4000.0, api.Effect.SAFE)
+KEYED = api.RequestClass("write", 1000.0, 4000.0, api.Effect.KEYED, api.Group.ZONE, 3000.0)
+UNSAFE = api.RequestClass("pay", 1000.0, 4000.0, api.Effect.UNSAFE)
+PLAIN = api.Plan("plain", rate=1.0, burst=4.0)
+CAPPED = api.Plan("capped", rate=5.0, burst=5.0, ceiling_rate=11.0, ceiling_burst=11.0, ceiling_slack=2.0)
+SETTINGS = api.Settings(
+    me=0,
+    gateways=2,
+    zone="a",
+    tick_ms=2.0,
+    classes=(SAFE, KEYED, UNSAFE),
+    plans=(PLAIN, CAPPED),
+    has_counter=True,
+    counter_timeout_ms=50.0,
+    max_attempts=3,
+    can_cancel=True,
+    retry_after=True,
+    cold_from=0.25,
+    warm_within_ms=10_000.0,
+    fall_multiple=2.0,
+    fall_window_ms=1000.0,
+    answer_slack_ms=8.0,
+)
+START = 50_000.0
+A = TypeVar("A", bound=api.Action)
+
+
+def server(number: int, zone: str = "a", state: api.State = api.State.UP, started: float = 0.0) -> api.Server:
+    """One member."""
+    return api.Server(number, zone, "std", 0, state, 1.0, started)
+
+
+def gateway(servers: Iterable[api.Server] | None = None, seed: int = 1, **changes: object) -> Gateway:
+    """A gateway that knows its servers; four warm ones in two zones unless told otherwise."""
+    made = Gateway(replace(SETTINGS, **changes), seed)  # type: ignore[arg-type]
+    if servers is None:
+        servers = [server(1), server(2), server(3, "b"), server(4, "b")]
+    made.handle(START, api.Members(api.Scope.WARM_COPY, tuple(servers)))
+    return made
+
+
+def request(rid: str, cls: str = "read", plan: str = "plain", customer: int = 7, units: float = 1.0,
+            spread: int = 2, remaining: float = 4000.0) -> api.Request:
+    """One client try."""
+    return api.Request(rid, cls, plan, customer, remaining, units, spread)
+
+
+def outcome(send: api.Send, verdict: api.Verdict, attempt: int = 0, rtt: float = 50.0,
+            ended: bool | None = None) -> api.Outcome:
+    """The end of an attempt; a good one ends the request."""
+    done = verdict is api.Verdict.OK if ended is None else ended
+    return api.Outcome(send.id, attempt, send.server, verdict, rtt, done)
+
+
+def only(actions: Iterable[api.Action], kind: type[A]) -> list[A]:
+    """The actions of one kind."""
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def answer(made: Gateway, now: float, counts: Iterable[api.Count], totals: dict[int, float]) -> list[api.Action]:
+    """Play the counter: add to the totals and give each answer back."""
+    out: list[api.Action] = []
+    for count in counts:
+        totals[count.name] = totals.get(count.name, 0.0) + count.units
+        out += made.handle(now, api.Total(count.name, api.Verdict.OK, 2.0, totals[count.name]))
+    return out
+
+
+def admit(made: Gateway, now: float, event: api.Request, totals: dict[int, float]) -> list[api.Action]:
+    """Bring a request and answer the calls it causes."""
+    actions = made.handle(now, event)
+    return [a for a in actions if not isinstance(a, api.Count)] + answer(
+        made, now, only(actions, api.Count), totals)
