--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,232 @@
+"""The rules and the failures found, one small case each."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from martenstep import interface as api
+from martenstep.decide import Gateway
+from tests.helpers import SETTINGS, START, admit, gateway, only, outcome, request, server
+
+FREE = api.Plan("plain")  # a plan without a quota, for tests that are not about quotas
+
+
+def free(**changes: object) -> Gateway:
+    return gateway(plans=(FREE,), **changes)
+
+
+def sends(made: Gateway, now: float, event: api.Event) -> list[api.Send]:
+    return only(made.handle(now, event), api.Send)
+
+
+def test_a_good_answer_ends_a_request_and_nothing_follows() -> None:
+    made = free()
+    [send] = sends(made, START, request("r0"))
+    assert made.handle(START + 50, outcome(send, api.Verdict.OK)) == []
+    assert made.handle(START + 60, api.Left("r0")) == []
+    assert made.handle(START + 60, outcome(send, api.Verdict.TIMEOUT, ended=True)) == []
+
+
+def test_no_send_may_outlast_the_client() -> None:
+    [send] = sends(free(), START, request("r0", remaining=700.0))
+    assert send.timeout_ms <= 700.0
+
+
+def test_the_time_out_at_the_deadline_gets_its_final_answer() -> None:
+    made = free()
+    [send] = sends(made, START, request("r0", cls="pay", remaining=700.0))
+    last = made.handle(START + 700, outcome(send, api.Verdict.TIMEOUT, rtt=700.0))
+    assert last == [api.Fail("r0")]
+
+
+def test_a_client_that_left_while_held_for_the_counter_is_not_sent() -> None:
+    made = gateway()
+    counts = only(made.handle(START, request("r0")), api.Count)
+    made.handle(START + 1, api.Left("r0"))
+    for count in counts:
+        assert only(made.handle(START + 2, api.Total(count.name, api.Verdict.OK, 2.0, 1.0)), api.Send) == []
+
+
+def test_unsafe_goes_again_only_when_it_never_ran() -> None:
+    made = free()
+    [send] = sends(made, START, request("r0", cls="pay"))
+    [again] = sends(made, START + 5, outcome(send, api.Verdict.FULL))
+    assert again.server != send.server
+    assert made.handle(START + 9, outcome(again, api.Verdict.RESET, 1)) == [api.Fail("r0")]
+
+
+def test_keyed_stays_in_its_group_and_is_never_refused_once_it_may_have_run() -> None:
+    made = free()
+    zone = {1: "a", 2: "a", 3: "b", 4: "b"}
+    [send] = sends(made, START, request("r0", cls="write"))
+    [again] = sends(made, START + 5, outcome(send, api.Verdict.ERROR, rtt=5.0))
+    assert zone[again.server] == zone[send.server]
+    [third] = sends(made, START + 10, outcome(again, api.Verdict.CONNECT_FAILED, 1, rtt=5.0))
+    assert zone[third.server] == zone[send.server]
+    assert made.handle(START + 15, outcome(third, api.Verdict.ERROR, 2, rtt=5.0)) == [api.Fail("r0")]
+
+
+def test_keyed_is_not_sent_again_after_its_window() -> None:
+    made = free(classes=(replace(SETTINGS.classes[1], aim_ms=9000.0, deadline_ms=9000.0),))
+    [send] = sends(made, START, request("r0", cls="write", remaining=9000.0))
+    late = made.handle(START + 3001, outcome(send, api.Verdict.RESET, rtt=3001.0))
+    assert late == [api.Fail("r0")]
+
+
+@pytest.mark.parametrize("state", [api.State.DRAINING, api.State.GONE])
+def test_no_send_after_word_of_a_drain(state: api.State) -> None:
+    made = free(servers=[server(1), server(2)])
+    made.handle(START, api.Members(api.Scope.CHANGES, (server(1, state=state),)))
+    for number in range(20):
+        assert all(s.server == 2 for s in sends(made, START + 1, request(f"r{number}")))
+
+
+def test_a_server_missing_from_a_full_list_has_gone() -> None:
+    made = free(servers=[server(1), server(2)])
+    made.handle(START, api.Members(api.Scope.FULL, (server(2),)))
+    assert [s.server for s in sends(made, START, request("r0"))] == [2]
+
+
+def test_a_cold_server_gets_its_part_of_the_budget_only() -> None:
+    made = free(servers=[server(n) for n in range(1, 5)])
+    now, cold = START, 0
+    for number in range(2000):
+        now += 10.0
+        if number == 1000:
+            made.handle(now, api.Members(api.Scope.CHANGES, (server(4, started=now),)))
+        for send in sends(made, now, request(f"r{number}")):
+            cold += number >= 1000 and number < 1100 and send.server == 4
+            made.handle(now, outcome(send, api.Verdict.OK, rtt=40.0))
+    usual = 100 / 4  # sends a second to each server, at most what a warm one bears
+    assert 0 < cold <= SETTINGS.cold_from * SETTINGS.fall_multiple * usual
+
+
+def test_a_cold_server_gets_no_burst_at_the_gateways_own_start() -> None:
+    made = free(servers=[server(1, started=START - 100)])
+    got = [s for n in range(50) for s in sends(made, START + n, request(f"r{n}"))]
+    assert len(got) == 1
+
+
+def test_a_silent_server_is_left_and_tried_again_with_one_request() -> None:
+    made = free(servers=[server(1), server(2)])
+    now, lost = START, {1: 0, 2: 0}
+    for number in range(400):
+        now += 25.0
+        actions = made.handle(now, request(f"r{number}"))
+        wakes = only(actions, api.Wake)
+        for send in only(actions, api.Send):
+            lost[send.server] += 1
+            if send.server == 2:
+                made.handle(now, outcome(send, api.Verdict.OK, rtt=40.0))
+            elif wakes:
+                for action in made.handle(now + 1000, api.Due(wakes[0].token)):
+                    assert isinstance(action, api.Cancel)
+                    for more in only(made.handle(now + 1000, outcome(
+                            send, api.Verdict.CANCELLED, rtt=1000.0)), api.Send):
+                        made.handle(now + 1000, outcome(more, api.Verdict.OK, 1, rtt=40.0))
+    assert lost[1] <= 12 and lost[2] >= 380
+
+
+def test_a_slow_server_that_answers_is_not_taken_for_silent() -> None:
+    made = free(servers=[server(1)])
+    actions = made.handle(START, request("r0"))
+    [wake] = only(actions, api.Wake)
+    [other] = sends(made, START + 100, request("r1"))
+    made.handle(wake.at_ms - 10, outcome(other, api.Verdict.OK, rtt=300.0))
+    assert made.handle(wake.at_ms, api.Due(wake.token)) == []
+
+
+def test_a_full_server_is_no_magnet() -> None:
+    """A full queue answers at once; it must not look like the quickest server there is."""
+    made = free(servers=[server(1), server(2)])
+    now, tried = START, 0
+    for number in range(200):
+        now += 10.0
+        for send in sends(made, now, request(f"r{number}")):
+            if send.server == 1:
+                tried += 1
+                for more in sends(made, now, outcome(send, api.Verdict.FULL, rtt=1.0)):
+                    made.handle(now, outcome(more, api.Verdict.OK, 1, rtt=100.0))
+            else:
+                made.handle(now, outcome(send, api.Verdict.OK, rtt=100.0))
+    assert tried <= 20
+
+
+def test_all_servers_failing_are_not_all_left() -> None:
+    made = free(max_attempts=1)
+    now = START
+    for number in range(60):
+        now += 20.0
+        for send in sends(made, now, request(f"r{number}")):
+            made.handle(now, outcome(send, api.Verdict.RESET, rtt=5.0))
+    assert any(sends(made, now + step, request(f"x{step}")) for step in range(10))
+
+
+def test_further_attempts_are_bounded_by_the_retry_budget() -> None:
+    made = free()
+    attempts = requests = 0
+    now = START
+    for number in range(400):
+        now += 20.0
+        requests += 1
+        waiting = [(s, 0) for s in sends(made, now, request(f"r{number}"))]
+        while waiting:
+            send, attempt = waiting.pop()
+            attempts += 1
+            more = sends(made, now, outcome(send, api.Verdict.ERROR, attempt, rtt=5.0))
+            waiting += [(s, attempt + 1) for s in more]
+    assert attempts <= requests * 1.1 + 21
+
+
+def test_what_is_out_at_a_silent_fleet_is_bounded() -> None:
+    """A surge must not overdrive servers before their first answers tell what they bear."""
+    made = free()
+    got = [s for n in range(500) for s in sends(made, START, request(f"r{n}"))]
+    assert len(got) <= 4 * 6
+
+
+def test_no_known_server_means_a_refusal() -> None:
+    made = free(servers=[])
+    assert only(made.handle(START, request("r0")), api.Refuse)
+
+
+def test_stale_timers_and_unknown_ids_do_nothing() -> None:
+    made = free()
+    assert made.handle(START, api.Due(99)) == []
+    assert made.handle(START, api.Left("zz")) == []
+    assert made.handle(START, api.Total(5, api.Verdict.OK, 1.0, 3.0)) == []
+    assert made.handle(START, api.Outcome("zz", 0, 77, api.Verdict.OK, 1.0, True)) == []
+
+
+def test_an_unknown_class_is_named() -> None:
+    with pytest.raises(ValueError, match="video"):
+        free().handle(START, request("r0", cls="video"))
+
+
+@pytest.mark.parametrize(("key", "value"), [("gateways", 0), ("max_attempts", 0), ("cold_from", -1.0)])
+def test_impossible_settings_are_named(key: str, value: float) -> None:
+    with pytest.raises(ValueError, match=key):
+        replace(SETTINGS, **{key: value})  # type: ignore[arg-type]
+
+
+def test_a_negative_rate_is_named() -> None:
+    with pytest.raises(ValueError, match="rate"):
+        api.Plan("plain", rate=-1.0, burst=1.0)
+
+
+def test_same_events_same_actions() -> None:
+    def run() -> list[api.Action]:
+        made, totals, out = gateway(seed=9), {}, []
+        for number in range(300):
+            now = START + number * 37.0
+            actions = admit(made, now, request(f"r{number}", customer=number % 11), totals)
+            out += actions
+            for send in only(actions, api.Send):
+                out += made.handle(now + 20, outcome(send, api.Verdict.OK, rtt=20.0))
+        return out
+
+    first = run()
+    assert len(only(first, api.Send)) > 50
+    assert first == run()
