--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -26,8 +26,8 @@
 DOWN_AFTER = 3  # counter calls lost in a row, and ...
 DOWN_TIMES = 4.0  # ... this many time-outs without an answer, make it count as down: less is crowding
 RECHECK_MS = 250.0  # a counter that is down is tried with one call this often
-FLUSH_SHARE = 0.5  # units not yet reported are reported after this part of a period
 SHARE_PERIODS = 2.0  # memory of the others' rate: long against chance, short against a shift of traffic
+LEAST_PART = 0.5  # of an even share is kept for a gateway that saw little of a customer: traffic moves
 STALE_TOLERANCES = 4.0  # an entry is dropped when its TAT plus tolerance lies this many tolerances back
 SWEEP_MS = 2000.0  # how often stale entries are looked for
 # Servers
@@ -105,7 +105,7 @@
     """What this gateway knows of one customer's use."""
 
     __slots__ = ("plan", "customer", "spread", "quota", "own", "head", "period_ms", "period", "base", "last_base",
-                 "owed", "maybe", "others", "asked", "pending", "waiting", "seen", "epoch", "told", "used", "open", "flush_at")
+                 "owed", "maybe", "mine", "others", "asked", "pending", "waiting", "seen", "epoch", "told", "used", "open")
 
     def __init__(self, plan: Plan, customer: int, spread: int, now: float, started: float, epoch: int) -> None:
         self.plan, self.customer, self.spread = plan, customer, spread
@@ -123,7 +123,7 @@
         self.period_ms = min(max(length, PERIOD_LEAST_MS), PERIOD_MOST_MS)
         self.period = -1
         self.base = self.last_base = 0.0  # totals last seen under this period's name and the one before
-        self.others = plan.rate * (1 - 1 / spread)  # EWMA of the others' units a second
+        self.mine = self.others = 0.0  # EWMA of units a second, this gateway's and the others'
         self.owed = 0.0  # units sent and in no call yet; below 0: reported but not sent
         self.maybe = 0.0  # units in calls that timed out
         self.asked: dict[int, float] = {}  # names with a call out and the units in it
@@ -134,12 +134,12 @@
         self.told = False
         self.used = now
         self.open = 0
-        self.flush_at = 0.0
 
 
     def assume_others(self) -> None:
-        """Unheard, the others are taken to go on as last seen, and to leave this gateway 1/g at the least."""
-        part = max(1 - self.others / self.plan.rate, 1 / self.spread)
+        """Unheard, each gateway is taken to go on as last seen, and what was unused is split evenly."""
+        unused = max(self.plan.rate - self.mine - self.others, 0.0) / self.spread
+        part = min(max((self.mine + unused) / self.plan.rate, LEAST_PART / self.spread), 1.0)
         self.own.per_unit = self.quota.per_unit / part
         self.own.tolerance = self.quota.tolerance
 
@@ -272,6 +272,7 @@
         if current and now > led.seen:
             weight = 1 - math.exp((led.seen - now) / (SHARE_PERIODS * led.period_ms))
             led.others += weight * (others / (now - led.seen) * SECOND_MS - led.others)
+            led.mine += weight * (units / (now - led.seen) * SECOND_MS - led.mine)
         if current:
             led.base = event.total
             led.seen = now
