Sends beyond the quota where they earn more than they cost; open cap by the own part

Drawn from the own part of the ceiling's headroom, only with an expected delay under a quarter of the aim.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -58,6 +58,8 @@
 TARGET_OF_AIM = 0.25  # latency that keeps queues short: servers that hold much lose efficiency, and an
 TARGET_TIMES = 2.0  # answer must still fit its aim; but no less than so many queueless latencies
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
+OPEN_WAIT_MS = 100.0  # retry-after where the plan's limit of attempts out is reached: about one answer
+BEYOND_FIT = 0.25  # and a send beyond the quota within this one: only an idle back end has room for it
 RETRY_SHARE = 0.1  # further attempts per first send: bounds the extra load when much fails at once
 RETRY_SAVED = 20.0  # further attempts that may be saved up for the loss of a server
 MASK = (1 << 63) - 1  # counter names are below 2^63
@@ -111,7 +113,7 @@
         self.plan, self.customer, self.spread = plan, customer, spread
         self.quota = Meter(plan.rate, plan.burst, now)
         self.quota.tat = now + self.quota.tolerance * (1 - 1 / spread)
-        self.own = Meter(plan.rate / spread, plan.burst / spread, now)
+        self.own = Meter(plan.rate, plan.burst, now)  # its rate is set to the own part before each use
         # What the ceiling leaves above the quota is split evenly: sends that the counter has not confirmed
         # draw from the own part.  It fills from the instance's start, since a restart refills nothing.
         depth = max(plan.ceiling_burst - plan.burst, 0.0) + plan.ceiling_slack / 2
@@ -136,12 +138,11 @@
         self.open = 0
 
 
-    def assume_others(self) -> None:
-        """Unheard, each gateway is taken to go on as last seen, and what was unused is split evenly."""
+    def part(self) -> float:
+        """This gateway's part of the quota while nothing more is heard: each gateway is taken to go on as last
+        seen, and what was unused is split evenly."""
         unused = max(self.plan.rate - self.mine - self.others, 0.0) / self.spread
-        part = min(max((self.mine + unused) / self.plan.rate, LEAST_PART / self.spread), 1.0)
-        self.own.per_unit = self.quota.per_unit / part
-        self.own.tolerance = self.quota.tolerance
+        return min(max((self.mine + unused) / self.plan.rate, LEAST_PART / self.spread), 1.0)
 
 
 class Quota:
@@ -553,6 +554,8 @@
         if led.plan.rate <= 0:
             return self._send(now, job)
         wait = led.quota.wait(now, event.units)
+        if led.plan.open_limit and led.open >= max(led.plan.open_limit * led.part(), 1.0):
+            wait = max(wait, OPEN_WAIT_MS)  # the others' attempts out are guessed by their part of the units
         if wait > 0:
             return self._beyond(now, job, wait)
         if self._quota.can_ask(now) and event.remaining_ms > 2 * self._settings.counter_timeout_ms:
@@ -567,7 +570,7 @@
     def _unconfirmed(self, now: float, job: Job) -> list[Action]:
         """Decide without the counter: the own part of the quota, and of the ceiling's headroom."""
         led, units = job.ledger, job.request.units
-        led.assume_others()
+        led.own.per_unit = led.quota.per_unit / led.part()
         wait = max(led.quota.wait(now, units), led.own.wait(now, units))
         if wait > 0:
             return self._beyond(now, job, wait)
@@ -584,8 +587,18 @@
         return actions
 
     def _beyond(self, now: float, job: Job, wait: float) -> list[Action]:
-        """Refuse with the retry-after, unless a send beyond the quota earns more than it costs."""
-        return self._refuse(now, job, wait)
+        """Refuse with the retry-after, unless a send beyond the quota earns more than it costs.
+
+        Acts only where the plan says so, the back end has room to spare and the own part of the ceiling's
+        headroom holds it: what is sent so is in nobody else's books.
+        """
+        led, units = job.ledger, job.request.units
+        if led.plan.over_worth <= led.plan.over_cost or (led.head and led.head.room(now) < units):
+            return self._refuse(now, job, wait)
+        actions = self._send(now, job, BEYOND_FIT)
+        if job.attempts and led.head:
+            led.head.take(units, now)
+        return actions
 
     def _total(self, now: float, event: Total) -> list[Action]:
         answer = self._quota.total(now, event)
@@ -643,7 +656,7 @@
             return lambda server: server.cell == first.cell
         return None
 
-    def _send(self, now: float, job: Job) -> list[Action]:
+    def _send(self, now: float, job: Job, fit: float = FIT_OF_AIM) -> list[Action]:
         """Start an attempt where it can still be answered in time, else give the final answer."""
         left = job.deadline - now
         aim_left = min(job.arrived + job.cls.aim_ms, job.deadline) - now
@@ -651,7 +664,7 @@
         if allowed is False or left <= self._settings.tick_ms or len(job.attempts) >= self._settings.max_attempts:
             return self._give_up(now, job)
         choice = self._fleet.pick(now, allowed, job.attempts)
-        if choice is None or choice[1] > FIT_OF_AIM * aim_left:
+        if choice is None or choice[1] > fit * aim_left:
             return self._give_up(now, job)
         server = choice[0]
         attempt = len(job.attempts)
