--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -11,8 +11,31 @@
 from collections.abc import Callable
 
 from martenstep.interface import (
-    Action, Cancel, Count, Due, Effect, Event, Fail, Group, Left, Members, Outcome, Plan, Refuse, Request,
-    RequestClass, Scope, Send, Server, Settings, Started, State, Subscribe, Total, Verdict, Wake,
+    Action,
+    Cancel,
+    Count,
+    Due,
+    Effect,
+    Event,
+    Fail,
+    Group,
+    Left,
+    Members,
+    Outcome,
+    Plan,
+    Refuse,
+    Request,
+    RequestClass,
+    Scope,
+    Send,
+    Server,
+    Settings,
+    Started,
+    State,
+    Subscribe,
+    Total,
+    Verdict,
+    Wake,
 )
 
 SECOND_MS = 1000.0  # quotas are told per second, the clock runs in milliseconds
@@ -20,6 +43,7 @@
 PERIOD_BURSTS = 1.0  # length of a counter period in burst/rate: the design's own figure
 PERIOD_LEAST_MS = 1000.0  # a period shorter than this would be closed more often than used
 PERIOD_MOST_MS = 20_000.0  # the counter forgets names after 60 s; a period and the next must fit well
+FLUSH_SHARE = 0.25  # units sent unheard are reported after this part of a period
 NAME_LIVES = 2.5  # a name lives for this many periods: its own, and the next for the closing read
 WINDOW_START = 32.0  # counter calls out at once before anything is known of its speed
 WINDOW_MOST = 256.0  # and at most, lest a recovery take for ever to be noticed
@@ -79,7 +103,7 @@
 class Meter:
     """One GCRA: a theoretical arrival time against a rate and a burst, both per millisecond and in units."""
 
-    __slots__ = ("per_unit", "tolerance", "tat")
+    __slots__ = ("per_unit", "tat", "tolerance")
 
     def __init__(self, rate: float, burst: float, tat: float) -> None:
         self.per_unit = SECOND_MS / rate if rate > 0 else math.inf
@@ -106,8 +130,31 @@
 class Ledger:
     """What this gateway knows of one customer's use."""
 
-    __slots__ = ("plan", "customer", "spread", "quota", "own", "head", "period_ms", "period", "base", "last_base",
-                 "owed", "maybe", "mine", "others", "asked", "pending", "waiting", "seen", "epoch", "told", "used", "open")
+    __slots__ = (
+        "asked",
+        "base",
+        "customer",
+        "epoch",
+        "flushing",
+        "head",
+        "last_base",
+        "maybe",
+        "mine",
+        "open",
+        "others",
+        "owed",
+        "own",
+        "pending",
+        "period",
+        "period_ms",
+        "plan",
+        "quota",
+        "seen",
+        "spread",
+        "told",
+        "used",
+        "waiting",
+    )
 
     def __init__(self, plan: Plan, customer: int, spread: int, now: float, started: float, epoch: int) -> None:
         self.plan, self.customer, self.spread = plan, customer, spread
@@ -136,6 +183,7 @@
         self.told = False
         self.used = now
         self.open = 0
+        self.flushing = False  # a Wake is set to report what is owed
 
 
     def part(self) -> float:
@@ -288,8 +336,22 @@
 class Peer:
     """What this gateway knows of one server."""
 
-    __slots__ = ("info", "out", "base", "latency", "behind", "timed", "limit", "failing", "fails", "answered",
-                 "barred_until", "trial_ms", "warm_from", "cold_tat")
+    __slots__ = (
+        "answered",
+        "barred_until",
+        "base",
+        "behind",
+        "cold_tat",
+        "failing",
+        "fails",
+        "info",
+        "latency",
+        "limit",
+        "out",
+        "timed",
+        "trial_ms",
+        "warm_from",
+    )
 
     def __init__(self, info: Server, limit: float) -> None:
         self.info = info
@@ -378,9 +440,9 @@
         home, draw = self._settings.zone, self._rng.random
         for peer in self._up:
             trial = peer.trial_ms > 0 and not panic
-            if now < peer.cold_tat or now < peer.barred_until and (trial or not peer.trial_ms):
+            if now < peer.cold_tat or (now < peer.barred_until and (trial or not peer.trial_ms)):
                 continue
-            if len(peer.out) >= peer.limit or trial and peer.out or allowed and not allowed(peer.info):
+            if len(peer.out) >= peer.limit or (trial and peer.out) or (allowed and not allowed(peer.info)):
                 continue
             base, queue = self._expect(now, peer)
             cost = (base * (1 + len(peer.out)) + queue) * (1 + FAIL_COST * peer.failing) * (1 + JITTER * draw())
@@ -485,7 +547,7 @@
 class Job:
     """One request from its arrival to its final answer."""
 
-    __slots__ = ("request", "cls", "ledger", "arrived", "deadline", "attempts", "out", "token", "first_risk", "done")
+    __slots__ = ("arrived", "attempts", "cls", "deadline", "done", "first_risk", "ledger", "out", "request", "token")
 
     def __init__(self, request: Request, cls: RequestClass, ledger: Ledger, now: float) -> None:
         self.request, self.cls, self.ledger = request, cls, ledger
@@ -506,7 +568,7 @@
         self._fleet = Fleet(settings, random.Random(seed))
         self._jobs: dict[str, Job] = {}
         self._sites: dict[int, Server] = {}
-        self._wakes: dict[int, tuple[str, int, float]] = {}
+        self._wakes: dict[int, Ledger | tuple[str, int, float]] = {}
         self._token = 0
         self._retries = RETRY_SAVED
 
@@ -540,9 +602,9 @@
             job.done = True
         return job
 
-    def _wake(self, at: float, rid: str, attempt: int, patience: float) -> Action:
+    def _wake(self, at: float, purpose: Ledger | tuple[str, int, float]) -> Action:
         self._token += 1
-        self._wakes[self._token] = rid, attempt, patience
+        self._wakes[self._token] = purpose
         return Wake(at, self._token)
 
     def _request(self, now: float, event: Request) -> list[Action]:
@@ -584,6 +646,9 @@
             led.owed += units
             if led.head:
                 led.head.take(units, now)
+            if self._settings.has_counter and not led.flushing:
+                led.flushing = True
+                actions.append(self._wake(now + FLUSH_SHARE * led.period_ms, led))
         return actions
 
     def _beyond(self, now: float, job: Job, wait: float) -> list[Action]:
@@ -642,7 +707,7 @@
         self._drop(job.request.id)
         return [Refuse(job.request.id, max(wait, 1.0))]
 
-    def _allowed(self, now: float, job: Job) -> Callable[[Server], bool] | None | bool:
+    def _allowed(self, now: float, job: Job) -> Callable[[Server], bool] | bool | None:
         """Which servers the class's rule on repeats leaves: a test, None for all, False for none."""
         risk = job.first_risk
         if risk is None or job.cls.effect is Effect.SAFE:
@@ -677,13 +742,13 @@
         self._fleet.sent(now, server, (job.request.id, attempt))
         actions: list[Action] = [Send(job.request.id, server, left)]
         if self._settings.can_cancel and patience < left:
-            actions.append(self._wake(now + patience, job.request.id, attempt, patience))
+            actions.append(self._wake(now + patience, (job.request.id, attempt, patience)))
         return actions
 
     def _give_up(self, now: float, job: Job) -> list[Action]:
         """The final answer: a refusal where a client's retry is certain to do no harm, else a failure."""
         harmless = (job.first_risk is None or job.cls.effect is Effect.SAFE
-                    or job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL)
+                    or (job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL))
         if harmless:
             return self._refuse(now, job, job.cls.aim_ms * 0.1)
         self._drop(job.request.id)
@@ -711,7 +776,14 @@
         return actions
 
     def _due(self, now: float, token: int) -> list[Action]:
-        rid, attempt, patience = self._wakes.pop(token, ("", 0, 0.0))
+        purpose = self._wakes.pop(token, ("", 0, 0.0))
+        if isinstance(purpose, Ledger):
+            # What was sent unheard is reported as soon as the counter takes calls, asked for or not.
+            purpose.flushing = purpose.owed > 0 and not self._quota.can_ask(now)
+            if purpose.flushing:
+                return [self._wake(now + FLUSH_SHARE * purpose.period_ms, purpose)]
+            return self._quota.ask(now, purpose, self._units)
+        rid, attempt, patience = purpose
         job = self._jobs.get(rid)
         if job is None or not job.out or len(job.attempts) != attempt + 1:
             return []
