--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -58,9 +58,7 @@
 LIMIT_MOST = 64.0  # no bound is learnt beyond this: it would take too long to come down
 LIMIT_USED = 0.8  # part of the limit that counts as reached
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
-TARGET_OF_AIM = 0.25  # latency that keeps queues short: servers that hold much lose efficiency, and an
-TARGET_TIMES = 2.0  # answer must still fit its aim; but no less than so many queueless latencies
-TARGET_MOST = 0.3  # part of the aim that the target never passes: in a long overload the base drifts up too
+TARGET_OF_AIM = 0.25  # latency that keeps queues short: servers that hold much lose efficiency
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
 OPEN_WAIT_MS = 100.0  # retry-after where the plan's limit of attempts out is reached: about one answer
 BEYOND_FIT = 0.25  # and a send beyond the quota within this one: only an idle back end has room for it
@@ -426,8 +424,7 @@
             peer.behind += EWMA_GAIN * (behind - peer.behind)
             peer.timed = now
             self._mean += EWMA_GAIN / max(1, len(self._up)) * (peer.base - self._mean)
-            target = max(TARGET_OF_AIM * self._aim, TARGET_TIMES * peer.base)
-            if peer.latency > min(target, TARGET_MOST * self._aim):
+            if peer.latency > TARGET_OF_AIM * self._aim:
                 peer.limit = max(peer.limit - LIMIT_DOWN, 1.0)
             elif behind + 1 >= LIMIT_USED * peer.limit:  # only a limit that was reached is known to be borne
                 peer.limit = min(peer.limit + 1 / peer.limit, LIMIT_MOST)
