--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -25,7 +25,6 @@
 FLUSH_SHARE = 0.5  # units sent unheard are reported after this part of a period
 NAME_LIVES = 2.5  # a name lives for this many periods: its own, and the next for the closing read
 WINDOW_START = 32.0  # counter calls out at once before anything is known of its speed
-WINDOW_UP = 0.1  # calls added to the window for each full one answered: slow, as turned-away calls come back fast
 WINDOW_MOST = 256.0  # and at most, lest a recovery take for ever to be noticed
 DOWN_AFTER = 3  # counter calls lost in a row, and ...
 DOWN_TIMES = 4.0  # ... this many time-outs without an answer, make it count as down: less is crowding
@@ -247,7 +246,7 @@
                 led.owed += units
             return led, False
         self._lost, self._down, self._heard = 0, False, now
-        self._window = min(WINDOW_MOST, self._window + WINDOW_UP / self._window)
+        self._window = min(WINDOW_MOST, self._window + 1 / self._window)
         base = led.base if current else led.last_base
         others = event.total - base - units
         if others < 0:  # the counter forgot: what it holds now is all new, and the TAT stays
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -233,3 +233,31 @@
     first = run()
     assert len(only(first, api.Send)) > 50
     assert first == run()
+
+
+def test_a_long_overload_keeps_the_brake_on() -> None:
+    """Slow answers for long must not raise what counts as slow: the target does not follow the latencies."""
+    made = free(servers=[server(1)])
+    now = START
+    for number in range(600):
+        now += 50.0
+        for send in sends(made, now, request(f"r{number}")):
+            made.handle(now + 40, outcome(send, api.Verdict.OK, rtt=600.0))
+    got = [s for n in range(20) for s in sends(made, now + n, request(f"x{n}"))]
+    assert len(got) == 1
+
+
+def test_sends_beyond_the_quota_only_where_they_pay() -> None:
+    def sent(over_worth: float, over_cost: float) -> int:
+        plan = api.Plan("plain", rate=1.0, burst=2.0, over_worth=over_worth, over_cost=over_cost)
+        made = gateway(plans=(plan,), has_counter=False)
+        count = 0
+        for number in range(50):
+            now = START + number * 20.0
+            for send in sends(made, now, request(f"r{number}")):
+                count += 1
+                made.handle(now, outcome(send, api.Verdict.OK, rtt=10.0))
+        return count
+
+    assert sent(0.0, 0.5) <= 3
+    assert sent(0.2, 0.0) == 50
