--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -23,6 +23,7 @@
 PERIOD_LEAST_MS = 1000.0  # a period shorter than this would be closed more often than used
 PERIOD_MOST_MS = 20_000.0  # the counter forgets names after 60 s; a period and the next must fit well
 FLUSH_SHARE = 0.5  # units sent unheard are reported after this part of a period
+HOLD_TIMES = 4.0  # counter time-outs a client must have left to be held: twice the longest hold
 NAME_LIVES = 2.5  # a name lives for this many periods: its own, and the next for the closing read
 WINDOW_START = 32.0  # counter calls out at once before anything is known of its speed
 WINDOW_MOST = 256.0  # and at most, lest a recovery take for ever to be noticed
@@ -186,7 +187,8 @@
     def _stale(led: Ledger, now: float) -> bool:
         idle = now - max(led.quota.tat, led.used)
         return (idle > STALE_TOLERANCES * max(led.quota.tolerance, led.period_ms) and not led.asked
-                and not led.open and not led.waiting and not led.pending)
+                and not led.open and not led.waiting and not led.pending
+                and not led.flushing)  # its report would take a new entry's call, and lose who waits for it
 
     def can_ask(self, now: float) -> bool:
         """Whether the counter is there and has room for a call."""
@@ -546,7 +548,7 @@
             wait = max(wait, OPEN_WAIT_MS)  # the others' attempts out are guessed by their part of the units
         if wait > 0:
             return self._beyond(now, job, wait)
-        if self._quota.can_ask(now) and event.remaining_ms > 2 * self._settings.counter_timeout_ms:
+        if self._quota.can_ask(now) and event.remaining_ms > HOLD_TIMES * self._settings.counter_timeout_ms:
             led.waiting.append(event.id)
             return self._quota.ask(now, led, self._units)
         return self._unconfirmed(now, job)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -138,3 +138,34 @@
 def test_an_unknown_plan_is_named() -> None:
     with pytest.raises(ValueError, match="gold"):
         gateway().handle(START, request("r0", plan="gold"))
+
+
+def test_a_report_to_come_keeps_its_entry() -> None:
+    """A dropped entry's late report took the answer of the new entry's call; who waited was never answered."""
+    made = gateway()
+    now = START
+    wakes: list[api.Wake] = []
+    for number in range(20):  # the counter is silent until it counts as down
+        now += 60.0
+        actions = made.handle(now, request(f"a{number}", customer=100 + number))
+        for count in only(actions, api.Count):
+            actions = actions + made.handle(now + 50, api.Total(count.name, api.Verdict.TIMEOUT, 50.0))
+        wakes += [w for w in only(actions, api.Wake) if w.at_ms > now + 1900]
+        for send in only(actions, api.Send):
+            made.handle(now + 50, outcome(send, api.Verdict.OK))
+    assert wakes
+    now += 60_000.0  # idle for long: the sweep runs with the next request, of a customer whose report is due
+    actions = made.handle(now, request("late", customer=100))
+    for wake in wakes:
+        actions = actions + made.handle(now, api.Due(wake.token))
+    done = [a for a in actions if isinstance(a, api.Send | api.Refuse)]
+    for count in only(actions, api.Count):
+        answers = made.handle(now + 2, api.Total(count.name, api.Verdict.OK, 2.0, count.units))
+        done += [a for a in answers if isinstance(a, api.Send | api.Refuse)]
+    assert [a.id for a in done] == ["late"]
+
+
+def test_a_client_with_little_time_is_not_held() -> None:
+    made = gateway()
+    actions = made.handle(START, request("r0", remaining=150.0))
+    assert only(actions, api.Send) and not only(actions, api.Count)
