--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -24,6 +24,7 @@
 PERIOD_MOST_MS = 20_000.0  # the counter forgets names after 60 s; a period and the next must fit well
 FLUSH_SHARE = 0.5  # units sent unheard are reported after this part of a period
 HOLD_TIMES = 4.0  # counter time-outs a client must have left to be held: twice the longest hold
+HEAD_PART = 0.7  # of the ceiling's headroom is used: confirmed sends may pass the quota by what is read late
 NAME_LIVES = 2.5  # a name lives for this many periods: its own, and the next for the closing read
 WINDOW_START = 32.0  # counter calls out at once before anything is known of its speed
 WINDOW_MOST = 256.0  # and at most, lest a recovery take for ever to be noticed
@@ -116,12 +117,12 @@
         self.quota = Meter(plan.rate, plan.burst, now)
         self.quota.tat = now + self.quota.tolerance * (1 - 1 / spread)
         self.own = Meter(plan.rate, plan.burst, now)  # its rate is set to the own part before each use
-        # What the ceiling leaves above the quota is split evenly: sends that the counter has not confirmed
-        # draw from the own part.  It fills from the instance's start, since a restart refills nothing.
-        depth = max(plan.ceiling_burst - plan.burst, 0.0) + plan.ceiling_slack / 2
+        # The ceiling's part above the quota, less a reserve, is split evenly for sends the counter has not
+        # confirmed.  It fills from the instance's start, since a restart refills nothing.
         self.head: Meter | None = None
         if plan.ceiling_rate > 0:
-            self.head = Meter(max(plan.ceiling_rate - plan.rate, 0.0) / spread, depth / spread, started)
+            part, depth = HEAD_PART / spread, max(plan.ceiling_burst - plan.burst, 0.0)
+            self.head = Meter(max(plan.ceiling_rate - plan.rate, 0) * part, depth * part, started)
             self.head.tat = started + self.head.tolerance
         length = PERIOD_BURSTS * plan.burst / plan.rate * SECOND_MS if plan.rate > 0 else PERIOD_MOST_MS
         self.period_ms = min(max(length, PERIOD_LEAST_MS), PERIOD_MOST_MS)
@@ -660,8 +661,7 @@
         choice = self._fleet.pick(now, allowed, job.attempts)
         if choice is None or choice[1] > fit * aim_left:
             return self._give_up(now, job)
-        server = choice[0]
-        attempt = len(job.attempts)
+        server, attempt = choice[0], len(job.attempts)
         if attempt == 0:
             self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
             job.ledger.open += 1
