--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -8,7 +8,6 @@
 
 import math
 import random
-from collections.abc import Callable
 from dataclasses import replace
 from typing import Literal
 
@@ -19,18 +18,24 @@
 
 SECOND_MS = 1000.0  # quotas are told per second, the clock runs in milliseconds
 # Quota
-PERIOD_BURSTS = 1.0  # length of a counter period in burst/rate: the design's own figure
 PERIOD_LEAST_MS = 1000.0  # a period shorter than this would be closed more often than used
 PERIOD_MOST_MS = 20_000.0  # the counter forgets names after 60 s; a period and the next must fit well
 FLUSH_SHARE = 0.5  # units sent unheard are reported after this part of a period
 HOLD_TIMES = 4.0  # counter time-outs a client must have left to be held: twice the longest hold
-HEAD_PART = 0.7  # of the ceiling's headroom is used: confirmed sends may pass the quota by what is read late
+HEAD_PART = 0.9  # of the ceiling's headroom is used: confirmed sends may pass the quota by what is read late
 NAME_LIVES = 2.5  # a name lives for this many periods: its own, and the next for the closing read
-WINDOW_START = 32.0  # counter calls out at once before anything is known of its speed
-WINDOW_MOST = 256.0  # and at most, lest a recovery take for ever to be noticed
-DOWN_AFTER = 3  # counter calls lost in a row, and ...
-DOWN_TIMES = 4.0  # ... this many time-outs without an answer, make it count as down: less is crowding
-RECHECK_MS = 250.0  # a counter that is down is tried with one call this often
+CALL_GAIN = 0.3  # the chance of a call moves by about this part with each answer
+CALL_BUSY = 0.25  # of the time-out: an answer later than this tells of a line at the counter
+CALL_LEAST = 0.05  # chance of a call while none is answered, so that a recovery is noticed
+CALL_MOST = 8.0  # above 1, so that tries of less than usual worth are asked for too while there is no crowd
+CLOSE_BELOW = 0.75  # of the burst left: under this the old period's end matters, and is read
+PRIOR_GAIN = 0.05  # weight of one answered try in a plan's share that conforms: about the last twenty
+WEIGHT_MOST = 4.0  # tries that one asked for stands for at most: more would fill a burst by chance alone
+COST_LEAST = 0.1  # of its worth a send beyond the quota costs at least: it takes room even where it is free
+PRIOR = 0.5  # of a plan nobody has asked for yet
+SURE = 0.85  # a share that conforms is held to lie between this and 1 less this: else nobody asks again
+CONFORM_GAIN = 0.4  # and in a customer's own, which starts from its plan's
+FRESH_PERIODS = 4.0  # a reading may be gone on from for this long at the rates seen
 SHARE_PERIODS = 2.0  # memory of the others' rate: long against chance, short against a shift of traffic
 LEAST_PART = 0.5  # of an even share is kept for a gateway that saw little of a customer: traffic moves
 STALE_TOLERANCES = 4.0  # an entry is dropped when its TAT plus tolerance lies this many tolerances back
@@ -43,29 +48,29 @@
 RATE_TAU_MS = 3000.0  # memory of the own send rate, long against a tick and short against a ramp
 GUESS_OF_AIM = 0.12  # an unseen server is taken to answer in this part of the shortest aim
 OTHER_ZONE = 1.06  # a server elsewhere must be this much quicker to be worth the crossing
-JITTER = 0.08  # random part of a server's cost, so that gateways do not move in step
+BLUR_LEAST = 0.05  # the choice is by chance at least so much, so that gateways do not move in step
+INFORMED = 1.0  # own sends to a server in QUEUE_TAU_MS that tell of its queue; with fewer, chance decides
+FAIL_GAIN = 0.4  # weight of one answer, or of none, in a server's failures: two in a row tell
+FAIL_TAU_MS = 5000.0  # how fast failures are forgotten, so that a server is tried again
 FAIL_COST = 6.0  # a server that always fails costs this many times more than a sound one
 SILENT_TIMES = 4.0  # no answer for this many expected latencies is silence
+SILENT_OF_POOL = 0.75  # of the latency over all servers is expected at least: few answers tell of each
 SILENT_OF_AIM = 0.35  # and no less than this part of the aim, so that one long request is not silence
-FAILS_TO_LEAVE = 3  # failures in a row that take a server out: two may be chance
-SILENT_TO_LEAVE = 2  # attempts given up with no answer between that take a server out: one may be just long
-FULL_REST_MS = 200.0  # a server that was full is left alone for this long: time to work off some queue
-TRIAL_MS = 1000.0  # a server taken out is tried again with one request after this long, then twice that ...
-TRIAL_MOST_MS = 8000.0  # ... up to this
-SOUND_SHARE = 0.5  # with fewer sound servers than this, suspicion is laid to the network and set aside
 COLD_SAFETY = 0.5  # part of a cold server's budget that is used: its size and the others' use are guesses
-COLD_LEAST = 0.5  # sends per fall window to a cold server when nothing is known of the usual load
+COLD_LEAST = 1.0  # sends of all gateways per fall window to a cold server while no usual load is known
 # Requests
+POOL_GAIN = 0.2  # weight of one answer in the latency of all servers together
 LIMIT_START = 6.0  # attempts out at a server, of all gateways together, before answers tell what it bears
+LIMIT_SPARE = 3.0  # and at a gateway above its share: arrivals are uneven, answers soon tell if it is much
 LIMIT_MOST = 64.0  # no bound is learnt beyond this: it would take too long to come down
-LIMIT_USED = 0.8  # part of the limit that counts as reached
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
-TARGET_OF_AIM = 0.3  # latency that keeps queues short: servers that hold much lose efficiency
+CALM_OF_AIM = 0.5  # latency over all servers up to which the fleet counts as quick
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
 OPEN_WAIT_MS = 100.0  # retry-after where the plan's limit of attempts out is reached: about one answer
 BEYOND_FIT = 0.25  # and a send beyond the quota within this one: only an idle back end has room for it
-RETRY_SHARE = 0.1  # further attempts per first send: bounds the extra load when much fails at once
-RETRY_SAVED = 20.0  # further attempts that may be saved up for the loss of a server
+RETRY_SHARE = 0.1  # further attempts per first send: bounds the extra load when much fails at once, ...
+RETRY_CALM = 0.4  # ... while answers are slow; while they are quick there is room for more
+RETRY_SAVED = 40.0  # further attempts all gateways may save up for the loss of a server, besides one each
 MASK = (1 << 63) - 1  # counter names are below 2^63
 
 
@@ -110,181 +115,202 @@
 class Ledger:
     """What this gateway knows of one customer's use."""
 
-    def __init__(
-        self, plan: Plan, customer: int, spread: int, now: float, started: float, epoch: int
-    ) -> None:
-        self.plan, self.customer, self.spread = plan, customer, spread
+    def __init__(self, plan: Plan, request: Request, settings: Settings, now: float, started: float) -> None:
+        self.plan, self.customer = plan, request.customer
+        self.spread = spread = max(1, min(request.spread, settings.gateways))
         self.quota = Meter(plan.rate, plan.burst, now)
         self.quota.tat = now + self.quota.tolerance * (1 - 1 / spread)
         self.own = Meter(plan.rate, plan.burst, now)  # its rate is set to the own part before each use
         # The ceiling's part above the quota, less a reserve, is split evenly for sends the counter has not
-        # confirmed.  It fills from the instance's start, since a restart refills nothing.
+        # confirmed.  It fills from the instance's start, since a restart refills nothing.  Where an even part
+        # is less than one request, the first so many of the customer's gateways hold one each: else all
+        # would pass, or nobody.
         self.head: Meter | None = None
         if plan.ceiling_rate > 0:
-            part, depth = HEAD_PART / spread, max(plan.ceiling_burst - plan.burst, 0.0)
-            self.head = Meter(max(plan.ceiling_rate - plan.rate, 0) * part, depth * part, started)
+            depth = HEAD_PART * max(plan.ceiling_burst + plan.ceiling_slack - plan.burst, 0.0)
+            holders = min(spread, int(depth / max(settings.max_units, 1.0)))
+            place = (settings.me - request.first) % settings.gateways
+            part = (place < holders) / max(holders, 1)
+            rate = HEAD_PART * max(plan.ceiling_rate - plan.rate, 0.0)
+            self.head = Meter(rate * part, depth * part, started)
             self.head.tat = started + self.head.tolerance
-        length = PERIOD_BURSTS * plan.burst / plan.rate * SECOND_MS if plan.rate > 0 else PERIOD_MOST_MS
+        length = plan.burst / plan.rate * SECOND_MS if plan.rate > 0 else PERIOD_MOST_MS
         self.period_ms = min(max(length, PERIOD_LEAST_MS), PERIOD_MOST_MS)
+        self.phase = name_of(self.customer, -1) / MASK  # customers' periods end at different times
         self.period = -1
-        self.base = self.last_base = 0.0  # totals last seen under this period's name and the one before
+        self.base = 0.0  # total last seen under this period's name
+        self.last_base = 0.0  # and under the one before
+        self.unclosed = False  # the old period's end has not been read
         self.mine = self.others = 0.0  # EWMA of units a second, this gateway's and the others'
         self.owed = 0.0  # units sent and in no call yet; below 0: reported but not sent
+        self.guessed = 0.0  # units of unheard sends elsewhere that the tries in the call stand for
         self.maybe = 0.0  # units in calls that timed out
         self.asked: dict[int, float] = {}  # names with a call out and the units in it
-        self.pending: list[str] = []  # requests whose units are in the call that is out
-        self.waiting: list[str] = []  # requests for the next call
+        self.pending: dict[str, float] = {}  # requests, and their units, in the call that is out
+        self.waiting: dict[str, float] = {}  # and for the next call
         self.seen = now  # when the counter last told of the others
-        self.epoch = epoch
-        self.told = False
+        self.told = False  # of this period, or of the one before and this gateway's own use since
+        self.stranger = False  # was not, before the last answer
+        self.conform = PRIOR  # share of its tries that conformed when the counter was asked
         self.used = now
         self.open = 0
         self.flushing = False  # a Wake is set to report what is owed
 
-
     def part(self) -> float:
         """The own part of the quota while nothing is heard: each gateway is taken to go on as last seen, and
         what was unused is split evenly."""
         unused = max(self.plan.rate - self.mine - self.others, 0.0) / self.spread
         return min(max((self.mine + unused) / self.plan.rate, LEAST_PART / self.spread), 1.0)
 
+    def in_use(self, now: float) -> bool:
+        """Whether the entry is kept.  One with a report to come is: dropped, its report would take a new
+        entry's call, and lose who waits for it."""
+        idle = now - max(self.quota.tat, self.used)
+        busy = self.asked or self.open or self.waiting or self.pending or self.flushing
+        return bool(busy) or idle <= STALE_TOLERANCES * max(self.quota.tolerance, self.period_ms)
+
 
 class Quota:
     """Keeps every customer's ledger and the calls to the counter."""
 
-    def __init__(self, settings: Settings) -> None:
-        self._settings = settings
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        self._settings, self._rng = settings, rng
         self._plans = {plan.name: plan for plan in settings.plans}
         self._ledgers: dict[int, Ledger] = {}
         self._calls: dict[int, Ledger] = {}
-        self._window = WINDOW_START
-        self._lost = 0
-        self._heard = math.nan  # when the counter last answered
-        self._down = self._doubted = False
-        self._epoch = 0
-        self._next_try = self._cut_until = -math.inf
+        self._chance = 1.0 if settings.has_counter else 0.0  # of a call, where its answer has the usual worth
+        self._worth = 0.0  # EWMA of what an answer is worth
+        self._conform = {plan.name: PRIOR for plan in settings.plans}  # EWMA of the asked
         self._swept = -math.inf
         self._started = math.nan
 
     def ledger(self, now: float, request: Request) -> Ledger:
         """The customer's ledger, new where it is not known; stale ones are dropped on the way."""
         if math.isnan(self._started):
-            self._started = self._heard = now
+            self._started = now
         if now - self._swept >= SWEEP_MS:
             self._swept = now
-            self._ledgers = {key: led for key, led in self._ledgers.items() if not self._stale(led, now)}
+            self._ledgers = {key: led for key, led in self._ledgers.items() if led.in_use(now)}
         found = self._ledgers.get(request.customer)
         if found is None:
             plan = self._plans.get(request.plan)
             if plan is None:
                 raise ValueError(f"plan {request.plan!r} is not among the settings")
-            spread = max(1, min(request.spread, self._settings.gateways))
-            found = Ledger(plan, request.customer, spread, now, self._started, self._epoch)
+            found = Ledger(plan, request, self._settings, now, self._started)
+            found.conform = self._conform[plan.name]
             self._ledgers[request.customer] = found
         found.used = now
         return found
 
     @staticmethod
-    def _stale(led: Ledger, now: float) -> bool:
-        idle = now - max(led.quota.tat, led.used)
-        return (idle > STALE_TOLERANCES * max(led.quota.tolerance, led.period_ms) and not led.asked
-                and not led.open and not led.waiting and not led.pending
-                and not led.flushing)  # its report would take a new entry's call, and lose who waits for it
-
-    def can_ask(self, now: float) -> bool:
-        """Whether the counter is there and has room for a call."""
-        if not self._settings.has_counter:
-            return False
-        if self._down:
-            return now >= self._next_try
-        return len(self._calls) < self._window
-
-    def ask(self, now: float, led: Ledger, units_of: Callable[[str], float]) -> list[Action]:
+    def _pays(led: Ledger) -> bool:
+        """Whether a send without the counter's word earns more than it costs, as such tries go."""
+        return led.conform + (1 - led.conform) * (led.plan.over_worth - led.plan.over_cost) > 0
+
+    def unheard_wait(self, now: float, led: Ledger, units: float) -> float:
+        """The wait without the counter's word.  The own part of the quota holds by chance, the more the less
+        the counter answers: while it does, what is sent too much is found out."""
+        wait = led.quota.wait(now, units) if led.told else 0.0
+        led.own.per_unit = led.quota.per_unit / led.part()
+        if self._rng.random() >= self._chance - CALL_LEAST:
+            wait = max(wait, led.own.wait(now, units))
+        return wait if self._pays(led) else max(wait, led.quota.per_unit)
+
+    def call_weight(self, now: float, led: Ledger, units: float) -> float:
+        """0 for no call: by chance, so that all gateways together stay below what the counter takes, with
+        odds by what the answer is worth: a right send where it would else be refused, or a wrong one spared.
+        Covers a counter that is crowded, slow or down; harms where calls are slow for another reason."""
+        blind = self._pays(led) and (led.head is None or led.head.room(now) >= units)
+        good = min(max(led.conform, 1 - SURE), SURE)
+        worth = units * led.plan.price * ((1 - good) * max(led.plan.over_cost, COST_LEAST) if blind else good)
+        self._worth += PRIOR_GAIN * (worth - self._worth)
+        odds = max(self._chance * worth / self._worth, CALL_LEAST) if self._worth else self._chance
+        if not self._settings.has_counter or self._rng.random() >= odds:
+            return 0.0
+        # A try that is asked for stands for those that are not and are sent all the same: without their
+        # weight the totals are too low, and all conform.
+        return min(1 / min(odds, 1.0), WEIGHT_MOST) if blind else 1.0
+
+    def spare(self, now: float, led: Ledger, units: float) -> bool:
+        """Whether the last reading leaves so much room that a call is better spent elsewhere, the more so the
+        more the counter is crowded: the units are then gathered and told afterwards."""
+        unseen = led.others * (now - led.seen) / SECOND_MS
+        room = led.quota.room(now) - unseen - units
+        fresh = led.told and now - led.seen < FRESH_PERIODS * led.period_ms
+        return (fresh and room > min(self._chance, 1.0) * led.plan.burst
+                and (led.head is None or led.head.room(now) >= units))
+
+    def judged(self, led: Ledger, good: bool) -> None:
+        """Learn from a try that the counter told of whether such tries conform."""
+        self._conform[led.plan.name] += PRIOR_GAIN * (good - self._conform[led.plan.name])
+        led.conform += CONFORM_GAIN * (good - led.conform)
+
+    def ask(self, now: float, led: Ledger, guessed: float = 0.0) -> list[Action]:
         """Report what is owed and what the waiting requests would use, and read the total back."""
-        if led.asked or (not led.waiting and led.owed <= 0):
+        if led.asked or (not led.waiting and not led.owed):
             return []
-        out: list[Action] = []
-        period = math.floor(now / led.period_ms)
-        expire = NAME_LIVES * led.period_ms
+        period = math.floor(now / led.period_ms + led.phase)
         if period != led.period:
-            # Closing read: units that others added near the old period's end, or before this gateway came.
-            led.last_base = led.base if period == led.period + 1 else 0.0
-            led.base, led.period = 0.0, period
+            follows = period == led.period + 1
+            led.last_base = led.base if follows else 0.0
+            led.told = led.told and follows
+            led.base, led.period, led.unclosed = 0.0, period, True
             led.owed = max(led.owed, 0.0)
-            out.append(self._call(led, name_of(led.customer, period - 1), 0.0, expire))
-        led.pending, led.waiting = led.waiting, []
-        need = led.owed + sum(units_of(rid) for rid in led.pending)
-        add = max(need, 0.0)
-        led.owed = need - add
-        out.append(self._call(led, name_of(led.customer, period), add, expire))
-        if self._down:
-            self._next_try = now + RECHECK_MS
-        return out
-
-    def _call(self, led: Ledger, name: int, units: float, expire: float) -> Action:
+        led.pending, led.waiting = led.waiting, {}
+        add = led.owed + guessed + sum(led.pending.values())
+        led.owed, led.guessed = 0.0, guessed
+        return [self._call(led, period, add)]
+
+    def _call(self, led: Ledger, period: int, units: float) -> Action:
+        name = name_of(led.customer, period)
         led.asked[name] = units
         self._calls[name] = led
-        return Count(name, units, expire)
+        return Count(name, units, NAME_LIVES * led.period_ms)
 
-    def total(self, now: float, event: Total) -> tuple[Ledger, bool] | None:
-        """Take in an answer; gives the ledger and whether its waiting requests may count on it."""
+    def total(self, now: float, event: Total) -> tuple[Ledger, bool, list[Action]] | None:
+        """Take in an answer; gives the ledger, whether its requests may count on it, and further calls."""
         led = self._calls.pop(event.name, None)
         if led is None:
             return None
-        units = led.asked.pop(event.name)
+        units, quota = led.asked.pop(event.name), led.quota
         current = event.name == name_of(led.customer, led.period)
-        if event.verdict is not Verdict.OK:
-            self._lost += 1
-            if now >= self._cut_until:  # once for each round of calls
-                self._window = max(1.0, self._window / 2)
-                self._cut_until = now + self._settings.counter_timeout_ms
-            quiet = now - self._heard >= DOWN_TIMES * self._settings.counter_timeout_ms
-            if self._lost >= DOWN_AFTER and quiet and not self._down:
-                self._down = True
-                self._doubted = True
-                self._next_try = now + RECHECK_MS
+        good = event.verdict is Verdict.OK
+        late = event.rtt_ms / max(self._settings.counter_timeout_ms, 1.0) if good else 1.0
+        step = CALL_GAIN * (1 - late / CALL_BUSY)
+        self._chance = min(max(self._chance * math.exp(step), CALL_LEAST), CALL_MOST)
+        if not good:
+            if not current:  # the closing read: what was told of this period stands
+                return led, True, []
             if event.verdict is Verdict.TIMEOUT:
                 led.maybe += units
             else:
                 led.owed += units
-            return led, False
-        self._lost, self._down, self._heard = 0, False, now
-        self._window = min(WINDOW_MOST, self._window + 1 / self._window)
-        base = led.base if current else led.last_base
-        others = event.total - base - units
-        if others < 0:  # the counter forgot: what it holds now is all new, and the TAT stays
-            others = event.total - units
-            led.epoch = -1
-            self._epoch += self._doubted  # once for each outage: every name may lack units
-            self._doubted = False
-        elif current and led.maybe:
-            others = max(others - led.maybe, 0.0)
-            led.maybe = 0.0
-        if led.epoch != self._epoch:
-            quota = led.quota  # as a new customer: others may have sent what was never told
-            quota.tat = max(quota.tat, now + quota.tolerance * (1 - 1 / led.spread))
-            led.epoch = self._epoch
-        if not led.told:
-            # The start value stands in only until the counter has told of a customer that is new here: then
-            # what was used in the period before, and since, is known, if not just when.
-            if current:
-                begun = led.period * led.period_ms
-                quota = led.quota
-                quota.tat = max(begun - led.period_ms / 2 + led.last_base * quota.per_unit, begun)
-                quota.tat = max(quota.tat + others * quota.per_unit, now)
-                led.told = True
-        elif others > 0:
-            led.quota.take(others, led.seen)
-        if current and now > led.seen:
+            return led, False, []
+        if not current:
+            led.unclosed = False
+            rest = max(event.total - led.last_base, 0.0)
+            if led.stranger:
+                rest = max(rest - led.plan.burst / 2, 0.0)
+            quota.tat += rest * quota.per_unit
+            return led, True, []
+        others = max(event.total - led.base - units - led.maybe, 0.0) + led.guessed
+        led.maybe = 0.0
+        led.stranger = not led.told
+        if led.told:
+            quota.take(others, led.seen)
+        else:
+            led.told = True
+            quota.tat = (led.period - led.phase) * led.period_ms + others * quota.per_unit
+        if now > led.seen:
             weight = 1 - math.exp((led.seen - now) / (SHARE_PERIODS * led.period_ms))
             led.others += weight * (others / (now - led.seen) * SECOND_MS - led.others)
             led.mine += weight * (units / (now - led.seen) * SECOND_MS - led.mine)
-        if current:
-            led.base = event.total
-            led.seen = now
-        else:
-            led.last_base = event.total
-        return led, True
+        led.base, led.seen = event.total, now
+        most = 1.0 if led.plan.ceiling_rate > 0 else CLOSE_BELOW
+        short = led.unclosed and quota.room(now) < most * led.plan.burst
+        if short and self.call_weight(now, led, 1.0):
+            return led, True, [self._call(led, led.period - 1, 0.0)]
+        return led, True, []
 
 
 # Servers ----------------------------------------------------------------------------------------------
@@ -293,20 +319,24 @@
 class Peer:
     """What this gateway knows of one server."""
 
-    def __init__(self, info: Server, limit: float) -> None:
+    def __init__(self, info: Server) -> None:
         self.info = info
-        self.out: dict[tuple[str, int], tuple[float, int]] = {}  # attempts out: when, behind how many
+        self.out: dict[tuple[str, int], float] = {}  # attempts out, and since when
         self.base = 0.0  # latency with no queue: follows low answers fast and high ones slowly; 0: unknown
-        self.latency = self.behind = 0.0  # EWMA of latency, and of own attempts out at its send
-        self.limit = limit  # own attempts out at most
+        self.latency = 0.0  # EWMA
         self.timed = -math.inf  # when the latency was last measured
-        self.failing = 0.0  # EWMA of failures
-        self.fails = 0  # in a row
+        self.failing, self.failed = 0.0, -math.inf  # EWMA of failures, and when it last moved
         self.answered = -math.inf
-        self.barred_until = -math.inf
-        self.trial_ms = 0.0  # above 0 while out: the pause before the next trial
-        self.warm_from = info.started_ms  # when it started, or is presumed to have
-        self.cold_tat = -math.inf
+        self.cold_tat: float | None = None  # no send before this while cold; None: not thought of yet
+
+    def failures(self, now: float) -> float:
+        """Share of attempts that fail, as far as it is not forgotten."""
+        return self.failing * math.exp((self.failed - now) / FAIL_TAU_MS)
+
+    def judge(self, now: float, bad: bool) -> None:
+        """Learn from one answer, or from none."""
+        self.failing = (1 - FAIL_GAIN) * self.failures(now) + FAIL_GAIN * bad
+        self.failed = now
 
 
 class Fleet:
@@ -316,10 +346,12 @@
         self._settings, self._rng = settings, rng
         self._peers: dict[int, Peer] = {}
         self._up: list[Peer] = []
-        self._start = max(LIMIT_START / settings.gateways, 1.0)
         self._aim = min((c.aim_ms for c in settings.classes), default=SECOND_MS)
         self._mean = GUESS_OF_AIM * self._aim
         self._sent, self._sent_at = 0.0, 0.0
+        self._latency = self._mean  # EWMA over the answers of all servers
+        self._out = 0  # attempts out at all servers, and ...
+        self._more = LIMIT_SPARE  # ... how many more than its part this gateway may have
 
     def members(self, event: Members) -> None:
         """Take in a list: whole ones replace, changes apply to what is held."""
@@ -333,88 +365,102 @@
         for key, server in listed.items():
             peer = self._peers.get(key)
             if peer is None:
-                self._peers[key] = Peer(server, self._start)
+                self._peers[key] = Peer(server)
                 continue
             if server.started_ms > peer.info.started_ms:
-                fresh = Peer(server, self._start)
-                fresh.out = peer.out
-                fresh.base = peer.base
-                self._peers[key] = fresh
-            peer = self._peers[key]
-            peer.info = server
-            peer.warm_from = max(peer.warm_from, server.started_ms)
+                fresh = self._peers[key] = Peer(server)
+                fresh.out, fresh.base = peer.out, peer.base
+            self._peers[key].info = server
         self._peers = {k: p for k, p in self._peers.items() if p.info.state is not State.GONE or p.out}
         self._up = [p for p in self._peers.values() if p.info.state is State.UP]
 
+    def _part(self) -> float:
+        """This gateway's part of what the servers bear of all gateways' attempts."""
+        return LIMIT_START * len(self._up) / self._settings.gateways
+
+    def calm(self) -> bool:
+        """Whether what answers at all does so quickly: what is lost then is lost for another reason."""
+        return self._latency <= CALM_OF_AIM * self._aim
+
+    def crowded(self) -> bool:
+        """Whether all is out that may be: one brake over all servers, since a limit for each comes to
+        hundreds over all gateways.  A part of one is kept by chance."""
+        return self._rng.random() >= self._part() + self._more - self._out
+
     def _expect(self, now: float, peer: Peer) -> tuple[float, float]:
         """Latency without a queue, and the queue's delay; news of a queue fades, lest a server be shunned for
         a queue that is long gone."""
         if not peer.base:
             return self._mean / max(peer.info.size, 0.1), 0.0
         queue = max(peer.latency - peer.base, 0.0) * math.exp((peer.timed - now) / QUEUE_TAU_MS)
-        return peer.base, queue * (1 + len(peer.out)) / (1 + peer.behind)
+        return peer.base, queue
 
     def patience(self, now: float, peer_id: int, aim: float) -> float:
         """How long without an answer is silence."""
-        return max(SILENT_TIMES * sum(self._expect(now, self._peers[peer_id])), SILENT_OF_AIM * aim)
+        usual = max(sum(self._expect(now, self._peers[peer_id])), SILENT_OF_POOL * self._latency)
+        return max(SILENT_TIMES * usual, SILENT_OF_AIM * aim)
 
     def _cold_gap(self, now: float, peer: Peer) -> float:
         """The least time between sends to a server that is cold; 0 for a warm one."""
         s = self._settings
-        age = now - peer.warm_from
-        if peer.warm_from <= 0 or age >= s.warm_within_ms:
+        age = now - peer.info.started_ms
+        if peer.info.started_ms <= 0 or age >= s.warm_within_ms:
             return 0.0
         part = s.cold_from + (1 - s.cold_from) * max(age, 0.0) / s.warm_within_ms
         usual = self.send_rate(now) / max(1, len(self._up))
-        least = COLD_LEAST / max(s.fall_window_ms, SECOND_MS)
+        least = COLD_LEAST / max(s.fall_window_ms, SECOND_MS) / s.gateways
         return 1 / max(COLD_SAFETY * s.fall_multiple * part * usual, least)
 
+    def _may_warm(self, now: float, peer: Peer) -> bool:
+        """Whether a cold server's turn has come.  The first turn is spread over the gap by chance: every
+        gateway hears of a new server at about the same moment, and each would send its first at once."""
+        gap = self._cold_gap(now, peer)
+        if gap and peer.cold_tat is None:
+            peer.cold_tat = now + gap * self._rng.random()
+        return not gap or peer.cold_tat is None or now >= peer.cold_tat
+
     def send_rate(self, now: float) -> float:
         """Own sends per millisecond."""
         return self._sent * math.exp(-(now - self._sent_at) / RATE_TAU_MS) / RATE_TAU_MS
 
-    def pick(self, now: float, allowed: Where, tried: list[int]) -> tuple[int, float] | None:
+    def pick(self, now: float, allowed: Where, tried: list[int]) -> tuple[Server, float] | None:
         """The server with the least expected delay, and that delay; None where none may be used."""
-        panic = self._panic()
         best: tuple[float, Peer] | None = None
         home, draw = self._settings.zone, self._rng.random
+        # A gateway that seldom meets a server knows nothing of its queue, and the same few would look best to
+        # all: the less it sends, the more it chooses by chance, with odds as 1/cost where it knows nothing.
+        seen = self.send_rate(now) * QUEUE_TAU_MS / max(1, len(self._up))
+        blur = max(1 - seen / INFORMED, BLUR_LEAST)
         for peer in self._up:
-            trial = peer.trial_ms > 0 and not panic
-            if now < peer.cold_tat or (now < peer.barred_until and (trial or not peer.trial_ms)):
-                continue
-            if len(peer.out) >= peer.limit or (trial and peer.out) or (allowed and not allowed(peer.info)):
+            if (allowed and not allowed(peer.info)) or not self._may_warm(now, peer):
                 continue
             base, queue = self._expect(now, peer)
-            cost = (base * (1 + len(peer.out)) + queue) * (1 + FAIL_COST * peer.failing)
-            cost *= 1 + JITTER * draw()
+            cost = (base * (1 + len(peer.out)) + queue) * (1 + FAIL_COST * peer.failures(now))
+            cost *= (-math.log(1 - draw())) ** blur
             if peer.info.zone != home:
                 cost *= OTHER_ZONE
             if peer.info.id in tried:
                 cost *= FAIL_COST
-            if trial:
-                cost = 0.0  # its turn for a trial
             if best is None or cost < best[0]:
                 best = cost, peer
-        return None if best is None else (best[1].info.id, sum(self._expect(now, best[1])))
+        return None if best is None else (best[1].info, sum(self._expect(now, best[1])))
 
     def sent(self, now: float, server: int, key: tuple[str, int]) -> None:
         """Book a send."""
         peer = self._peers[server]
-        peer.out[key] = now, len(peer.out)
+        peer.out[key] = now
+        self._out += 1
         self._sent = self._sent * math.exp(-(now - self._sent_at) / RATE_TAU_MS) + 1
         self._sent_at = now
-        gap = self._cold_gap(now, peer)
-        peer.cold_tat = now + gap if gap else -math.inf
-        if peer.trial_ms:
-            peer.trial_ms = min(2 * peer.trial_ms, TRIAL_MOST_MS)
-            peer.barred_until = now + peer.trial_ms
+        peer.cold_tat = now + self._cold_gap(now, peer)
 
     def outcome(self, now: float, event: Outcome) -> None:
         """Learn from how an attempt ended."""
         peer = self._peers.get(event.server)
+        self._out -= 1
         if peer is None:
             return
-        _, behind = peer.out.pop((event.id, event.attempt), (now, 0))
+        peer.out.pop((event.id, event.attempt), None)
         bad = event.verdict not in (Verdict.OK, Verdict.MOOT, Verdict.CANCELLED)
         if event.verdict in (Verdict.OK, Verdict.ERROR, Verdict.FULL):
             peer.answered = now
@@ -424,58 +470,38 @@
                 peer.base = peer.latency = self._mean / max(peer.info.size, 0.1)
             peer.base += (BASE_GAIN_DOWN if rtt < peer.base else BASE_GAIN_UP) * (rtt - peer.base)
             peer.latency += EWMA_GAIN * (rtt - peer.latency)
-            peer.behind += EWMA_GAIN * (behind - peer.behind)
             peer.timed = now
-            self._mean += EWMA_GAIN / max(1, len(self._up)) * (peer.base - self._mean)
-            if peer.latency > TARGET_OF_AIM * self._aim:
-                peer.limit = max(peer.limit - LIMIT_DOWN, 1.0)
-            elif behind + 1 >= LIMIT_USED * peer.limit:  # only a limit that was reached is known to be borne
-                peer.limit = min(peer.limit + 1 / peer.limit, LIMIT_MOST)
-            peer.fails = 0
-            if peer.trial_ms > 2 * TRIAL_MS:  # a trial failed too: so long a silence is presumed a restart
-                peer.warm_from = now
-            peer.trial_ms, peer.barred_until = 0.0, -math.inf
+            self._latency += POOL_GAIN * (rtt - self._latency)
+            limit = self._part() + self._more
+            if not self.calm():
+                self._more = max(self._more - LIMIT_DOWN, -self._part() / 2)
+            elif self._out + 1 >= limit:  # only a limit that was reached is known to be borne
+                self._more = min(self._more + 1 / max(limit, 1.0), LIMIT_MOST)
+            self._mean += (BASE_GAIN_DOWN if rtt < self._mean else BASE_GAIN_UP) / 2 * (rtt - self._mean)
         elif event.verdict is Verdict.FULL:
             # A full queue is the longest there is, though its answer comes at once: without this a full
             # server would look idle and draw all traffic.
-            peer.barred_until = max(peer.barred_until, now + FULL_REST_MS)
             self._jammed(now, peer, self._aim)
-            bad = False
-        elif bad:
-            if event.verdict is Verdict.TIMEOUT:
-                self._jammed(now, peer, event.rtt_ms)
-            peer.fails += 1
-            if peer.fails >= FAILS_TO_LEAVE:
-                self._leave(now, peer)
+        elif event.verdict is Verdict.TIMEOUT:
+            if not self.calm():
+                self._latency += POOL_GAIN * (event.rtt_ms - self._latency)
+                self._more = max((self._more - self._part()) / 2, -self._part() / 2)
+            self._jammed(now, peer, event.rtt_ms)
         if event.verdict not in (Verdict.MOOT, Verdict.CANCELLED):
-            peer.failing += EWMA_GAIN * (bad - peer.failing)
+            peer.judge(now, bad)
 
     def silent(self, now: float, server: int, key: tuple[str, int], patience: float) -> bool:
         """Whether nothing has come from a server for so long that an attempt there is given up."""
         peer = self._peers.get(server)
         if peer is None or key not in peer.out or now - peer.answered < patience:
             return False
-        # What the attempt has waited is the least its answer would take: without this a slow fleet would not
-        # show in the latencies, as only the quick answers are counted.
-        self._jammed(now, peer, now - peer.out[key][0])
-        peer.fails += 1
-        if peer.fails >= SILENT_TO_LEAVE:
-            self._leave(now, peer)
-        return not self._panic()
-
-    def _panic(self) -> bool:
-        """So few sound servers that the network, or overload, is more likely than so many losses."""
-        return sum(1 for p in self._up if not p.trial_ms) < SOUND_SHARE * len(self._up)
+        self._jammed(now, peer, now - peer.out[key])  # else only the quick answers would be counted
+        peer.judge(now, True)
+        return self.calm()
 
     def _jammed(self, now: float, peer: Peer, waited: float) -> None:
         """No answer in time: the queue is this long at least, and work given up may still be in it."""
-        peer.latency, peer.behind, peer.timed = max(peer.latency, waited), len(peer.out), now
-        peer.limit = max(min(peer.limit, len(peer.out)) / 2, 1.0)
-
-    def _leave(self, now: float, peer: Peer) -> None:
-        if not peer.trial_ms:
-            peer.trial_ms = TRIAL_MS
-            peer.barred_until = now + TRIAL_MS
+        peer.latency, peer.timed = max(peer.latency, waited), now
 
 
 # Requests ---------------------------------------------------------------------------------------------
@@ -488,8 +514,8 @@
         self.request, self.cls, self.ledger = request, cls, ledger
         self.arrived, self.deadline = now, now + request.remaining_ms
         self.attempts: list[int] = []  # the server of each
-        self.out = False  # an attempt is out
-        self.first_risk: tuple[int, float] | None = None  # first attempt that may have run: where and when
+        self.server: Server | None = None  # where an attempt is out
+        self.first_risk: tuple[Server, float] | None = None  # first attempt that may have run: where and when
 
 
 class Gateway:
@@ -498,13 +524,13 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self._settings = settings
         self._classes = {cls.name: cls for cls in settings.classes}
-        self._quota = Quota(settings)
-        self._fleet = Fleet(settings, random.Random(seed))
+        rng = random.Random(seed)
+        self._quota = Quota(settings, rng)
+        self._fleet = Fleet(settings, rng)
         self._jobs: dict[str, Job] = {}
-        self._sites: dict[int, Server] = {}
         self._wakes: dict[int, Ledger | tuple[str, int, float]] = {}
         self._token = 0
-        self._retries = RETRY_SAVED
+        self._retries = self._saved = 1 + RETRY_SAVED / settings.gateways
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Decide on one event."""
@@ -519,17 +545,23 @@
                 return self._due(now, event.token)
             case Left():
                 self._drop(event.id)
-                return []
             case Members():
                 self._fleet.members(event)
-                for server in event.servers:
-                    self._sites[server.id] = server
-                subscribe = event.scope in (Scope.WARM_COPY, Scope.LOST) and self._settings.must_subscribe
-                return [Subscribe()] if subscribe else []
+                if event.scope in (Scope.WARM_COPY, Scope.LOST) and self._settings.must_subscribe:
+                    return [Subscribe()]
         return []
 
-    def _drop(self, rid: str) -> Job | None:
-        return self._jobs.pop(rid, None)
+    def _drop(self, rid: str) -> None:
+        """Forget a request that has its final answer, or whose client left, and free its place."""
+        job = self._jobs.pop(rid, None)
+        if job is not None:
+            self._book(job, None)
+
+    @staticmethod
+    def _book(job: Job, server: Server | None) -> None:
+        """Book where an attempt is out, if one is: the one place where the open cap's count moves."""
+        job.ledger.open += (server is not None) - (job.server is not None)
+        job.server = server
 
     def _wake(self, at: float, purpose: Ledger | tuple[str, int, float]) -> Action:
         self._token += 1
@@ -544,48 +576,43 @@
         job = self._jobs[event.id] = Job(event, cls, led, now)
         if led.plan.rate <= 0:
             return self._send(now, job)
-        wait = led.quota.wait(now, event.units)
+        wait = led.quota.wait(now, event.units) if led.told else 0.0
         if led.plan.open_limit and led.open >= max(led.plan.open_limit * led.part(), 1.0):
             wait = max(wait, OPEN_WAIT_MS)  # the others' attempts out are guessed by their part of the units
         if wait > 0:
             return self._beyond(now, job, wait)
-        if self._quota.can_ask(now) and event.remaining_ms > HOLD_TIMES * self._settings.counter_timeout_ms:
-            led.waiting.append(event.id)
-            return self._quota.ask(now, led, self._units)
+        if self._quota.spare(now, led, event.units):
+            return self._unconfirmed(now, job, True)
+        patient = event.remaining_ms > HOLD_TIMES * self._settings.counter_timeout_ms
+        weight = 1.0 if led.asked else self._quota.call_weight(now, led, event.units)
+        if patient and weight:
+            led.waiting[event.id] = event.units
+            return self._quota.ask(now, led, event.units * (weight - 1))
         return self._unconfirmed(now, job)
 
-    def _units(self, rid: str) -> float:
-        job = self._jobs.get(rid)
-        return job.request.units if job else 0.0
-
-    def _unconfirmed(self, now: float, job: Job) -> list[Action]:
+    def _unconfirmed(self, now: float, job: Job, spare: bool = False) -> list[Action]:
         """Decide without the counter: the own part of the quota, and of the ceiling's headroom."""
         led, units = job.ledger, job.request.units
-        led.own.per_unit = led.quota.per_unit / led.part()
-        wait = max(led.quota.wait(now, units), led.own.wait(now, units))
+        wait = 0.0 if spare else self._quota.unheard_wait(now, led, units)
         if wait > 0:
             return self._beyond(now, job, wait)
         if led.head and led.head.room(now) < units:
-            return self._refuse(now, job, led.head.per_unit)
+            return self._refuse(now, job, led.quota.per_unit)
         actions = self._send(now, job)
         if job.attempts:
-            led.told = True
             led.own.take(units, now)
             led.quota.take(units, now)
-            led.owed += units
+            led.owed += units if spare else 0.0
             if led.head:
                 led.head.take(units, now)
-            if self._settings.has_counter and not led.flushing:
+            if spare and not led.flushing:
                 led.flushing = True
                 actions.append(self._wake(now + FLUSH_SHARE * led.period_ms, led))
         return actions
 
     def _beyond(self, now: float, job: Job, wait: float) -> list[Action]:
-        """Refuse with the retry-after, unless a send beyond the quota earns more than it costs.
-
-        Acts only where the plan says so, the back end has room to spare and the own part of the ceiling's
-        headroom holds it: what is sent so is in nobody else's books.
-        """
+        """Refuse with the retry-after, unless the plan earns more beyond the quota than it costs, the servers
+        have room to spare and the own part of the headroom holds it: it is in nobody else's books."""
         led, units = job.ledger, job.request.units
         if led.plan.over_worth <= led.plan.over_cost or (led.head and led.head.room(now) < units):
             return self._refuse(now, job, wait)
@@ -598,38 +625,26 @@
         answer = self._quota.total(now, event)
         if answer is None:
             return []
-        led, good = answer
-        if led.asked:
-            return []
-        actions: list[Action] = []
-        pending, led.pending = led.pending, []
-        for rid in pending:
+        led, good, actions = answer
+        if led.asked or actions:
+            return actions
+        pending, led.pending = led.pending, {}
+        for rid, units in pending.items():
             job = self._jobs.get(rid)
-            if job is None:
-                continue
-            if not good:
-                led.owed -= job.request.units  # it is in the call already, if in any
-                actions += self._unconfirmed(now, job)
+            if job is None or not good:
+                led.owed -= units  # it is in the call already, if in any
+                if job is not None:
+                    actions += self._unconfirmed(now, job)
                 continue
-            wait = led.quota.wait(now, job.request.units)
-            if wait > 0:
-                led.owed -= job.request.units
-                actions += self._beyond(now, job, wait)
-                continue
-            actions += self._send(now, job)
-            if job.attempts:
-                led.quota.take(job.request.units, now)
-            else:
-                led.owed -= job.request.units
-        if led.waiting:
-            if self._quota.can_ask(now):
-                actions += self._quota.ask(now, led, self._units)
+            wait = led.quota.wait(now, units)
+            self._quota.judged(led, wait <= 0)
+            actions += self._beyond(now, job, wait) if wait > 0 else self._send(now, job)
+            if wait <= 0 and job.attempts:
+                led.quota.take(units, now)
             else:
-                waiting, led.waiting = led.waiting, []
-                for rid in waiting:
-                    job = self._jobs.get(rid)
-                    if job:
-                        actions += self._unconfirmed(now, job)
+                led.owed -= units
+        if led.waiting or (led.owed < 0 and good and self._quota.call_weight(now, led, -led.owed)):
+            actions += self._quota.ask(now, led)
         return actions
 
     def _refuse(self, now: float, job: Job, wait: float) -> list[Action]:
@@ -643,7 +658,7 @@
             return None
         if job.cls.effect is Effect.UNSAFE or now >= risk[1] + job.cls.window_ms:
             return False
-        first = self._sites[risk[0]]
+        first = risk[0]
         if job.cls.group is Group.ZONE:
             return lambda server: server.zone == first.zone
         if job.cls.group is Group.CELL:
@@ -658,15 +673,15 @@
         spent = len(job.attempts) >= self._settings.max_attempts
         if allowed is False or spent or left <= self._settings.tick_ms:
             return self._give_up(now, job)
-        choice = self._fleet.pick(now, allowed, job.attempts)
+        choice = None if self._fleet.crowded() else self._fleet.pick(now, allowed, job.attempts)
         if choice is None or choice[1] > fit * aim_left:
             return self._give_up(now, job)
-        server, attempt = choice[0], len(job.attempts)
+        server, attempt = choice[0].id, len(job.attempts)
         if attempt == 0:
-            self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
-            job.ledger.open += 1
+            share = RETRY_CALM if self._fleet.calm() else RETRY_SHARE
+            self._retries = min(self._retries + share, self._saved)
         job.attempts.append(server)
-        job.out = True
+        self._book(job, choice[0])
         patience = self._fleet.patience(now, server, job.cls.aim_ms)
         self._fleet.sent(now, server, (job.request.id, attempt))
         actions: list[Action] = [Send(job.request.id, server, left)]
@@ -690,35 +705,26 @@
             return []
         if event.ended:
             self._drop(event.id)
-            job.ledger.open -= 1
             return []
-        job.out = False
-        if not event.verdict.never_ran and job.first_risk is None:
-            job.first_risk = event.server, now - event.rtt_ms
-        job.ledger.open -= 1
+        if not event.verdict.never_ran and job.first_risk is None and job.server:
+            job.first_risk = job.server, now - event.rtt_ms
+        self._book(job, None)
         if self._retries < 1:
             return self._give_up(now, job)
         self._retries -= 1
-        actions = self._send(now, job)
-        if job.out:
-            job.ledger.open += 1
-        return actions
+        return self._send(now, job)
 
     def _due(self, now: float, token: int) -> list[Action]:
         purpose = self._wakes.pop(token, ("", 0, 0.0))
         if isinstance(purpose, Ledger):
-            # What was sent unheard is reported as soon as the counter takes calls, asked for or not.
-            purpose.flushing = purpose.owed > 0 and not self._quota.can_ask(now)
-            if purpose.flushing:
-                return [self._wake(now + FLUSH_SHARE * purpose.period_ms, purpose)]
-            return self._quota.ask(now, purpose, self._units)
+            purpose.flushing = False
+            return self._quota.ask(now, purpose)
         rid, attempt, patience = purpose
         job = self._jobs.get(rid)
-        if job is None or not job.out or len(job.attempts) != attempt + 1:
+        if job is None or not job.server or len(job.attempts) != attempt + 1:
             return []
         silent = self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience)
-        # Only where another attempt can follow: in an overload everything is slow, and calling it off would
-        # waste the work done and put the same load on once more.
+        # Only where another attempt can follow: else the work done is wasted for nothing.
         if silent and self._retries >= 1 and len(job.attempts) < self._settings.max_attempts:
             return [Cancel(rid, attempt)]
         return []
