--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -44,7 +44,9 @@
 EWMA_GAIN = 0.15  # weight of a new latency or failure: about the last six answers count
 BASE_GAIN_DOWN = 0.1  # an answer below the base latency pulls it down by this, ...
 BASE_GAIN_UP = 0.02  # ... one above it lifts it by this: it settles where few answers come sooner
-QUEUE_TAU_MS = 1000.0  # how fast news of a queue fades: about the time in which one is worked off
+BASE_PRIOR = 3.0  # answers that the first guess of a base latency weighs as much as
+QUEUE_TAU_MS = 1000.0  # how fast news of a queue fades, and ...
+QUEUE_TIMES = 3.0  # ... in this many times its length: a long one is worked off while others still add to it
 RATE_TAU_MS = 3000.0  # memory of the own send rate, long against a tick and short against a ramp
 GUESS_OF_AIM = 0.12  # an unseen server is taken to answer in this part of the shortest aim
 OTHER_ZONE = 1.06  # a server elsewhere must be this much quicker to be worth the crossing
@@ -64,7 +66,7 @@
 LIMIT_SPARE = 3.0  # and at a gateway above its share: arrivals are uneven, answers soon tell if it is much
 LIMIT_MOST = 64.0  # no bound is learnt beyond this: it would take too long to come down
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
-CALM_OF_AIM = 0.5  # latency over all servers up to which the fleet counts as quick
+CALM_OF_AIM = 0.42  # latency over all servers, in parts of each class's aim, up to which they count as quick
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
 OPEN_WAIT_MS = 100.0  # retry-after where the plan's limit of attempts out is reached: about one answer
 BEYOND_FIT = 0.25  # and a send beyond the quota within this one: only an idle back end has room for it
@@ -208,12 +210,14 @@
         return led.conform + (1 - led.conform) * (led.plan.over_worth - led.plan.over_cost) > 0
 
     def unheard_wait(self, now: float, led: Ledger, units: float) -> float:
-        """The wait without the counter's word.  The own part of the quota holds by chance, the more the less
-        the counter answers: while it does, what is sent too much is found out."""
+        """The wait without the counter's word.  While it answers, a part of 1/sqrt of the set holds by chance
+        in place of the own part: few that are within their quota come by one gateway more often."""
         wait = led.quota.wait(now, units) if led.told else 0.0
-        led.own.per_unit = led.quota.per_unit / led.part()
-        if self._rng.random() >= self._chance - CALL_LEAST:
-            wait = max(wait, led.own.wait(now, units))
+        part = led.part()
+        if self._rng.random() < self._chance - CALL_LEAST:
+            part = max(part, led.spread ** -0.5)
+        led.own.per_unit = led.quota.per_unit / part
+        wait = max(wait, led.own.wait(now, units))
         return wait if self._pays(led) else max(wait, led.quota.per_unit)
 
     def call_weight(self, now: float, led: Ledger, units: float) -> float:
@@ -306,7 +310,7 @@
             led.others += weight * (others / (now - led.seen) * SECOND_MS - led.others)
             led.mine += weight * (units / (now - led.seen) * SECOND_MS - led.mine)
         led.base, led.seen = event.total, now
-        most = 1.0 if led.plan.ceiling_rate > 0 else CLOSE_BELOW
+        most = 1.0 if led.plan.ceiling_rate > 0 or self._chance >= 1 else CLOSE_BELOW
         short = led.unclosed and quota.room(now) < most * led.plan.burst
         if short and self.call_weight(now, led, 1.0):
             return led, True, [self._call(led, led.period - 1, 0.0)]
@@ -323,10 +327,9 @@
         self.info = info
         self.out: dict[tuple[str, int], float] = {}  # attempts out, and since when
         self.base = 0.0  # latency with no queue: follows low answers fast and high ones slowly; 0: unknown
-        self.latency = 0.0  # EWMA
-        self.timed = -math.inf  # when the latency was last measured
+        self.latency, self.timed = 0.0, -math.inf  # EWMA, and when it was last measured
         self.failing, self.failed = 0.0, -math.inf  # EWMA of failures, and when it last moved
-        self.answered = -math.inf
+        self.answered, self.answers = -math.inf, 0  # when last, and how many good ones
         self.cold_tat: float | None = None  # no send before this while cold; None: not thought of yet
 
     def failures(self, now: float) -> float:
@@ -349,16 +352,14 @@
         self._aim = min((c.aim_ms for c in settings.classes), default=SECOND_MS)
         self._mean = GUESS_OF_AIM * self._aim
         self._sent, self._sent_at = 0.0, 0.0
-        self._latency = self._mean  # EWMA over the answers of all servers
+        self._latency = GUESS_OF_AIM  # EWMA over the answers of all servers, in parts of the class's aim
         self._out = 0  # attempts out at all servers, and ...
         self._more = LIMIT_SPARE  # ... how many more than its part this gateway may have
 
     def members(self, event: Members) -> None:
         """Take in a list: whole ones replace, changes apply to what is held."""
-        if event.scope is Scope.LOST:
-            return
         listed = {server.id: server for server in event.servers}
-        if event.scope is not Scope.CHANGES:
+        if event.scope in (Scope.FULL, Scope.WARM_COPY):
             for key in self._peers:
                 if key not in listed:
                     self._peers[key].info = replace(self._peers[key].info, state=State.GONE)
@@ -380,7 +381,7 @@
 
     def calm(self) -> bool:
         """Whether what answers at all does so quickly: what is lost then is lost for another reason."""
-        return self._latency <= CALM_OF_AIM * self._aim
+        return self._latency <= CALM_OF_AIM
 
     def crowded(self) -> bool:
         """Whether all is out that may be: one brake over all servers, since a limit for each comes to
@@ -392,12 +393,12 @@
         a queue that is long gone."""
         if not peer.base:
             return self._mean / max(peer.info.size, 0.1), 0.0
-        queue = max(peer.latency - peer.base, 0.0) * math.exp((peer.timed - now) / QUEUE_TAU_MS)
-        return peer.base, queue
+        queue = max(peer.latency - peer.base, 0.0)
+        return peer.base, queue * math.exp((peer.timed - now) / max(QUEUE_TAU_MS, QUEUE_TIMES * queue))
 
     def patience(self, now: float, peer_id: int, aim: float) -> float:
         """How long without an answer is silence."""
-        usual = max(sum(self._expect(now, self._peers[peer_id])), SILENT_OF_POOL * self._latency)
+        usual = max(sum(self._expect(now, self._peers[peer_id])), SILENT_OF_POOL * self._latency * aim)
         return max(SILENT_TIMES * usual, SILENT_OF_AIM * aim)
 
     def _cold_gap(self, now: float, peer: Peer) -> float:
@@ -454,7 +455,7 @@
         self._sent_at = now
         peer.cold_tat = now + self._cold_gap(now, peer)
 
-    def outcome(self, now: float, event: Outcome) -> None:
+    def outcome(self, now: float, event: Outcome, aim: float) -> None:
         """Learn from how an attempt ended."""
         peer = self._peers.get(event.server)
         self._out -= 1
@@ -468,10 +469,12 @@
             rtt = event.rtt_ms
             if not peer.base:
                 peer.base = peer.latency = self._mean / max(peer.info.size, 0.1)
-            peer.base += (BASE_GAIN_DOWN if rtt < peer.base else BASE_GAIN_UP) * (rtt - peer.base)
+            gain = BASE_GAIN_DOWN if rtt < peer.base else BASE_GAIN_UP
+            peer.base += max(gain, 1 / (peer.answers + BASE_PRIOR)) * (rtt - peer.base)
+            peer.answers += 1
             peer.latency += EWMA_GAIN * (rtt - peer.latency)
             peer.timed = now
-            self._latency += POOL_GAIN * (rtt - self._latency)
+            self._latency += POOL_GAIN * (min(rtt / aim, 1.0) - self._latency)
             limit = self._part() + self._more
             if not self.calm():
                 self._more = max(self._more - LIMIT_DOWN, -self._part() / 2)
@@ -479,12 +482,11 @@
                 self._more = min(self._more + 1 / max(limit, 1.0), LIMIT_MOST)
             self._mean += (BASE_GAIN_DOWN if rtt < self._mean else BASE_GAIN_UP) / 2 * (rtt - self._mean)
         elif event.verdict is Verdict.FULL:
-            # A full queue is the longest there is, though its answer comes at once: without this a full
-            # server would look idle and draw all traffic.
+            # Its answer comes at once: without this a full server would look idle and draw all traffic.
             self._jammed(now, peer, self._aim)
         elif event.verdict is Verdict.TIMEOUT:
             if not self.calm():
-                self._latency += POOL_GAIN * (event.rtt_ms - self._latency)
+                self._latency += POOL_GAIN * (min(event.rtt_ms / aim, 1.0) - self._latency)
                 self._more = max((self._more - self._part()) / 2, -self._part() / 2)
             self._jammed(now, peer, event.rtt_ms)
         if event.verdict not in (Verdict.MOOT, Verdict.CANCELLED):
@@ -699,11 +701,9 @@
         return [Fail(job.request.id)]
 
     def _outcome(self, now: float, event: Outcome) -> list[Action]:
-        self._fleet.outcome(now, event)
         job = self._jobs.get(event.id)
-        if job is None:
-            return []
-        if event.ended:
+        self._fleet.outcome(now, event, job.cls.aim_ms if job else math.inf)
+        if job is None or event.ended:
             self._drop(event.id)
             return []
         if not event.verdict.never_ran and job.first_risk is None and job.server:
