--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -17,7 +17,7 @@
 
 
 def test_no_state_outside_the_instances() -> None:
-    """Read from the syntax tree: constants alone at the top, no clock, no hash(), no random but the seeded."""
+    """Read from the syntax tree: constants at the top, no clock, no hash(), no random but the seeded."""
     tree = ast.parse((ROOT / "martenstep/decide.py").read_text(encoding="utf-8"))
     for node in tree.body:
         if isinstance(node, ast.Assign | ast.AnnAssign | ast.AugAssign):
