--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -69,6 +69,7 @@
 LIMIT_SPARE = 3.0  # and at a gateway above its share: arrivals are uneven, answers soon tell if it is much
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
 CALM_OF_AIM = 0.42  # latency over all servers, in parts of each class's aim, up to which they count as quick
+QUICK_OF_AIM = 0.25  # and up to which they have room for what may lie beyond a quota
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
 OPEN_WAIT_MS = 100.0  # retry-after where the plan's limit of attempts out is reached: about one answer
 BEYOND_FIT = 0.25  # and a send beyond the quota within this one: only an idle back end has room for it
@@ -393,6 +394,10 @@
         """Whether what answers at all does so quickly: what is lost then is lost for another reason."""
         return self._latency <= CALM_OF_AIM
 
+    def quick(self) -> bool:
+        """Whether there is room to spare, so that what is sent needlessly takes nobody's place."""
+        return self._latency <= QUICK_OF_AIM
+
     def crowded(self) -> bool:
         """Whether all is out that may be, over all servers: one at each is hundreds over all gateways."""
         return self._rng.random() >= self._part() + self._more - self._out
@@ -622,6 +627,11 @@
         """Decide without the counter: the own part of the quota, and of the ceiling's headroom."""
         led, units = job.ledger, job.request.units
         wait = 0.0 if spare else self._quota.unheard_wait(now, led, units)
+        if not spare and not self._fleet.quick():
+            # What the counter has not confirmed goes first when room gets short: one in four lies beyond its
+            # quota, and they fill the servers for those inside.  Covers every overload; harms, mildly, where
+            # the counter is down and the servers are slow for a reason that fewer sends do not mend.
+            wait = max(wait, led.quota.per_unit)
         if wait > 0:
             return self._beyond(now, job, wait)
         if led.head and led.head.room(now) < units:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -97,3 +97,20 @@
         answers = [a for n in range(30) for a in made.handle(START, request(f"r{n}"))]
         refused = only(answers, api.Refuse)
         assert refused and all(r.retry_after_ms > 0 for r in refused)
+
+
+def slowed(made: Gateway, rtt: float, answers: int = 20) -> Gateway:
+    """The gateway after so many answers that took this long; its own sends have ended."""
+    for n in range(answers):
+        for send in only(made.handle(START + n * 400, request(f"s{n}", customer=1000 + n)), api.Send):
+            made.handle(START + n * 400 + rtt, outcome(send, api.Verdict.OK, rtt=rtt))
+    return made
+
+
+def test_what_nobody_confirmed_gives_way_first_when_room_gets_short() -> None:
+    """L725790: a quarter of what was sent unheard lay beyond quotas, and filled the slower half."""
+    plans = (api.Plan("plain", rate=5.0, burst=20.0, over_cost=0.5),)
+    later = START + 20 * 400
+    for rtt, sent in ((100.0, True), (350.0, False)):
+        made = slowed(gateway(plans=plans, has_counter=False), rtt)
+        assert bool(only(made.handle(later, request("new", customer=9)), api.Send)) is sent
