The brake acts sooner where servers are chosen by chance, and unheard sends only while it is open

Where a gateway knows the queues they are even, and 0.42 of the aim is borne; where hundreds choose by chance, the same mean is a quarter of the servers jammed. Now 0.65 of it is taken off as far as the choice is by chance, and the guard on unheard sends is this one (no second one).

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -69,7 +69,7 @@
 LIMIT_SPARE = 3.0  # and at a gateway above its share: arrivals are uneven, answers soon tell if it is much
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
 CALM_OF_AIM = 0.42  # latency over all servers, in parts of each class's aim, up to which they count as quick
-QUICK_OF_AIM = 0.25  # and up to which they have room for what may lie beyond a quota
+BLUR_CALM = 0.65  # of it is taken off where servers are chosen by chance alone
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
 OPEN_WAIT_MS = 100.0  # retry-after where the plan's limit of attempts out is reached: about one answer
 BEYOND_FIT = 0.25  # and a send beyond the quota within this one: only an idle back end has room for it
@@ -390,13 +390,22 @@
         """This gateway's part of what the servers bear of all gateways' attempts."""
         return LIMIT_START * len(self._up) / self._settings.gateways
 
-    def calm(self) -> bool:
-        """Whether what answers at all does so quickly: what is lost then is lost for another reason."""
-        return self._latency <= CALM_OF_AIM
+    def _width(self, now: float) -> float:
+        """How many servers this gateway keeps to."""
+        return max(self.send_rate(now) * NEAR_MS, NEAR_LEAST)
 
-    def quick(self) -> bool:
-        """Whether there is room to spare, so that what is sent needlessly takes nobody's place."""
-        return self._latency <= QUICK_OF_AIM
+    def _blur(self, now: float) -> float:
+        """Part of the choice that is by chance: 1 where nothing is known of the servers' queues."""
+        seen = self.send_rate(now) * QUEUE_TAU_MS / max(1, min(self._width(now), len(self._up)))
+        return max(1 - seen / INFORMED, BLUR_LEAST)
+
+    def calm(self, now: float) -> bool:
+        """Whether what answers at all does so quickly: what is lost then is lost for another reason.
+
+        Where the choice is by chance, queues differ much, and the same mean hides servers that are jammed: it
+        must then be lower.  Covers slow, jammed and uneven servers; harms where all are slow but not full.
+        """
+        return self._latency <= CALM_OF_AIM * (1 - BLUR_CALM * self._blur(now))
 
     def crowded(self) -> bool:
         """Whether all is out that may be, over all servers: one at each is hundreds over all gateways."""
@@ -449,10 +458,8 @@
         # what is slow, jammed or lost.  So each keeps to few, in an order of its own; one that fails it goes
         # to the back.  Covers servers slow, jammed, silent or lost and full tables; harms where the few that
         # look sound to many are too few, which chance and turns even out.  One that sends much meets all.
-        width = max(self.send_rate(now) * NEAR_MS, NEAR_LEAST)
         # What it has few answers of, it chooses by chance, with odds as 1/cost where it knows nothing.
-        seen = self.send_rate(now) * QUEUE_TAU_MS / max(1, min(width, len(self._up)))
-        blur = max(1 - seen / INFORMED, BLUR_LEAST)
+        width, blur = self._width(now), self._blur(now)
         for peer in self._up:
             if (allowed and not allowed(peer.info)) or not self._may_warm(now, peer):
                 continue
@@ -504,7 +511,7 @@
             peer.timed = now
             self._latency += POOL_GAIN * (min(rtt / aim, 1.0) - self._latency)
             limit = self._part() + self._more
-            if not self.calm():
+            if not self.calm(now):
                 self._more = max(self._more - LIMIT_DOWN, -self._part() / 2)
             elif self._out + 1 >= limit:  # only a limit that was reached is known to be borne
                 self._more += 1 / max(limit, 1.0)
@@ -513,7 +520,7 @@
             # Its answer comes at once: without this a full server would look idle and draw all traffic.
             self._jammed(now, peer, self._aim)
         elif event.verdict is Verdict.TIMEOUT:
-            if not self.calm():
+            if not self.calm(now):
                 self._latency += POOL_GAIN * (min(event.rtt_ms / aim, 1.0) - self._latency)
                 self._more = max((self._more - self._part()) / 2, -self._part() / 2)
             self._jammed(now, peer, event.rtt_ms)
@@ -530,7 +537,7 @@
         self._jammed(now, peer, now - peer.out[key])  # else only the quick answers would be counted
         peer.judge(now, True)
         self._step_back(peer)
-        return self.calm()
+        return self.calm(now)
 
     def _jammed(self, now: float, peer: Peer, waited: float) -> None:
         """No answer in time: the queue is this long at least, and work given up may still be in it."""
@@ -627,7 +634,7 @@
         """Decide without the counter: the own part of the quota, and of the ceiling's headroom."""
         led, units = job.ledger, job.request.units
         wait = 0.0 if spare else self._quota.unheard_wait(now, led, units)
-        if not spare and not self._fleet.quick():
+        if not spare and not self._fleet.calm(now):
             # What the counter has not confirmed goes first when room gets short: one in four lies beyond its
             # quota, and they fill the servers for those inside.  Covers every overload; harms, mildly, where
             # the counter is down and the servers are slow for a reason that fewer sends do not mend.
@@ -716,7 +723,7 @@
             return self._give_up(now, job)
         server, attempt = choice[0].id, len(job.attempts)
         if attempt == 0:
-            share = RETRY_CALM if self._fleet.calm() else RETRY_SHARE
+            share = RETRY_CALM if self._fleet.calm(now) else RETRY_SHARE
             self._retries = min(self._retries + share, self._saved)
         job.attempts.append(server)
         self._book(job, choice[0])
