--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -66,10 +66,11 @@
 # Requests
 POOL_GAIN = 0.2  # weight of one answer in the latency of all servers together
 LIMIT_START = 6.0  # attempts out at a server, of all gateways together, before answers tell what it bears
-LIMIT_SPARE = 3.0  # and at a gateway above its share: arrivals are uneven, answers soon tell if it is much
+LIMIT_SPARE = 1.0  # and at a gateway above its share: arrivals are uneven; hundreds of them fill a fleet
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
 CALM_OF_AIM = 0.42  # latency over all servers, in parts of each class's aim, up to which they count as quick
 BLUR_CALM = 0.65  # of it is taken off where servers are chosen by chance alone
+HALF_OPEN_MS = 2000.0  # without a send, one goes though answers were slow: else a recovery is never seen
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
 OPEN_WAIT_MS = 100.0  # retry-after where the plan's limit of attempts out is reached: about one answer
 BEYOND_FIT = 0.25  # and a send beyond the quota within this one: only an idle back end has room for it
@@ -381,10 +382,13 @@
         self._up = [p for p in self._peers.values() if p.info.state is State.UP]
         self._up.sort(key=lambda p: p.rank)
 
-    def _step_back(self, peer: Peer) -> None:
-        """Behind all others: memory of a bad server by what was tried since, not by time."""
-        peer.rank = 1 + max(p.rank for p in self._up) if self._up else peer.rank
-        self._up.sort(key=lambda p: p.rank)
+    def _step_back(self, now: float, peer: Peer) -> None:
+        """To any place behind the aperture: memory of a bad server by what was tried since, not by time.  Not
+        to the end, where all gateways would leave it until all others had failed them too."""
+        if self._up:
+            edge = self._up[min(int(self._width(now)), len(self._up) - 1)].rank
+            peer.rank = edge + (self._up[-1].rank + 1 / len(self._up) - edge) * self._rng.random()
+            self._up.sort(key=lambda p: p.rank)
 
     def _part(self) -> float:
         """This gateway's part of what the servers bear of all gateways' attempts."""
@@ -407,6 +411,10 @@
         """
         return self._latency <= CALM_OF_AIM * (1 - BLUR_CALM * self._blur(now))
 
+    def idle(self, now: float) -> bool:
+        """Whether nothing was sent for so long that nothing new can be learnt: the breaker is half open."""
+        return now - self._sent_at > HALF_OPEN_MS
+
     def crowded(self) -> bool:
         """Whether all is out that may be, over all servers: one at each is hundreds over all gateways."""
         return self._rng.random() >= self._part() + self._more - self._out
@@ -477,7 +485,7 @@
             if best is None or cost < best[0]:
                 best = cost, peer
         if worst and width <= 0 and draw() < TURN_CHANCE:
-            self._step_back(worst[1])
+            self._step_back(now, worst[1])
         return None if best is None else (best[1].info, sum(self._expect(now, best[1])))
 
     def sent(self, now: float, server: int, key: tuple[str, int]) -> None:
@@ -527,7 +535,7 @@
         if event.verdict not in (Verdict.MOOT, Verdict.CANCELLED):
             peer.judge(now, bad)
             if bad:
-                self._step_back(peer)
+                self._step_back(now, peer)
 
     def silent(self, now: float, server: int, key: tuple[str, int], patience: float) -> bool:
         """Whether nothing has come from a server for so long that an attempt there is given up."""
@@ -536,7 +544,7 @@
             return False
         self._jammed(now, peer, now - peer.out[key])  # else only the quick answers would be counted
         peer.judge(now, True)
-        self._step_back(peer)
+        self._step_back(now, peer)
         return self.calm(now)
 
     def _jammed(self, now: float, peer: Peer, waited: float) -> None:
@@ -634,7 +642,7 @@
         """Decide without the counter: the own part of the quota, and of the ceiling's headroom."""
         led, units = job.ledger, job.request.units
         wait = 0.0 if spare else self._quota.unheard_wait(now, led, units)
-        if not spare and not self._fleet.calm(now):
+        if not spare and not self._fleet.calm(now) and not self._fleet.idle(now):
             # What the counter has not confirmed goes first when room gets short: one in four lies beyond its
             # quota, and they fill the servers for those inside.  Covers every overload; harms, mildly, where
             # the counter is down and the servers are slow for a reason that fewer sends do not mend.
