The reach of a gateway is read from its pace without the lag of a fresh start

The rate of sends starts at 0 and lags 3 s, so one of 3 gateways acted as one of 300: few servers, choice by chance, the stricter brake. The cold servers' budget keeps the lagging rate, which errs to the safe side.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -357,6 +357,7 @@
         self._aim = min((c.aim_ms for c in settings.classes), default=SECOND_MS)
         self._mean = GUESS_OF_AIM * self._aim
         self._sent, self._sent_at = 0.0, 0.0
+        self._began = math.inf  # time of the first send
         self._latency = GUESS_OF_AIM  # EWMA over the answers of all servers, in parts of the class's aim
         self._out = 0  # attempts out at all servers, and ...
         self._unmet = 0.0  # EWMA share of attempts that got no connection
@@ -394,13 +395,18 @@
         """This gateway's part of what the servers bear of all gateways' attempts."""
         return LIMIT_START * len(self._up) / self._settings.gateways
 
+    def _pace(self, now: float) -> float:
+        """Own sends per millisecond, without the lag of a fresh start: a restarted gateway of few would else
+        act for its first seconds as one of hundreds."""
+        return self.send_rate(now) / (1 - math.exp(-max(now - self._began, SECOND_MS) / RATE_TAU_MS))
+
     def _width(self, now: float) -> float:
         """How many servers this gateway keeps to."""
-        return max(self.send_rate(now) * NEAR_MS, NEAR_LEAST)
+        return max(self._pace(now) * NEAR_MS, NEAR_LEAST)
 
     def _blur(self, now: float) -> float:
         """Part of the choice that is by chance: 1 where nothing is known of the servers' queues."""
-        seen = self.send_rate(now) * QUEUE_TAU_MS / max(1, min(self._width(now), len(self._up)))
+        seen = self._pace(now) * QUEUE_TAU_MS / max(1, min(self._width(now), len(self._up)))
         return max(1 - seen / INFORMED, BLUR_LEAST)
 
     def calm(self, now: float) -> bool:
@@ -494,7 +500,7 @@
         peer.out[key] = now
         self._out += 1
         self._sent = self._sent * math.exp(-(now - self._sent_at) / RATE_TAU_MS) + 1
-        self._sent_at = now
+        self._sent_at, self._began = now, min(self._began, now)
         peer.cold_tat = now + self._cold_gap(now, peer)
 
     def outcome(self, now: float, event: Outcome, aim: float) -> None:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -142,3 +142,9 @@
     seen = [play(one_of_many(seed=n), frozenset({play(one_of_many(seed=n), frozenset(), 1)[0]}), 120, 800.0)
             for n in range(12)]
     assert any(tries.count(tries[0]) > 1 for tries in seen)
+
+
+def test_a_restarted_gateway_of_few_meets_all_its_servers_at_once() -> None:
+    """Its rate of sends was read too low for seconds, and it acted as one of hundreds."""
+    seen = play(one_of_many(gateways=3), frozenset(), 120, 10.0)
+    assert len(set(seen)) > FLEET / 2
