--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -31,6 +31,7 @@
 PRIOR_GAIN = 0.05  # weight of one answered try in a plan's share that conforms: about the last twenty
 WEIGHT_MOST = 4.0  # tries that one asked for stands for at most: more would fill a burst by chance alone
 COST_LEAST = 0.1  # of its worth a send beyond the quota costs at least: it takes room even where it is free
+PAYS_LEAST = -0.15  # of its worth an unheard send may seem to earn: the share is read from few answers
 PRIOR = 0.5  # of a plan nobody has asked for yet
 SURE = 0.85  # a share that conforms is held to lie between this and 1 less this: else nobody asks again
 CONFORM_GAIN = 0.4  # and in a customer's own, which starts from its plan's
@@ -210,8 +211,8 @@
 
     @staticmethod
     def _pays(led: Ledger) -> bool:
-        """Whether a send without the counter's word earns more than it costs, as such tries go."""
-        return led.conform + (1 - led.conform) * (led.plan.over_worth - led.plan.over_cost) > 0
+        """Whether a send without the counter's word earns about what it costs, as such tries go."""
+        return led.conform + (1 - led.conform) * (led.plan.over_worth - led.plan.over_cost) > PAYS_LEAST
 
     def unheard_wait(self, now: float, led: Ledger, units: float) -> float:
         """The wait without the counter's word.  While it answers, a part of 1/sqrt of the set holds by chance
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -24,7 +24,8 @@
             assert isinstance(node, ast.Assign) and isinstance(node.targets[0], ast.Name)
             assert node.targets[0].id.isupper()
             parts = ast.walk(node.value)
-            assert all(isinstance(part, ast.Constant | ast.BinOp | ast.operator) for part in parts)
+            number = ast.Constant | ast.BinOp | ast.operator | ast.UnaryOp | ast.unaryop
+            assert all(isinstance(part, number) for part in parts)
     for part in ast.walk(tree):
         assert not isinstance(part, ast.Global | ast.Set | ast.SetComp)
         if isinstance(part, ast.Import):
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -148,3 +148,10 @@
     """Its rate of sends was read too low for seconds, and it acted as one of hundreds."""
     seen = play(one_of_many(gateways=3), frozenset(), 40, 10.0)
     assert len(set(seen)) > FLEET / 2
+
+
+def test_a_share_read_from_few_shuts_nobody_out_that_loses_little() -> None:
+    for cost, sent in ((1.2, True), (1.6, False)):
+        plans = (api.Plan("plain", rate=5.0, burst=20.0, over_cost=cost),)
+        made = gateway(plans=plans, has_counter=False)
+        assert bool(only(made.handle(START, request("r0")), api.Send)) is sent
