--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -11,8 +11,8 @@
 from typing import Literal
 
 from martenstep.interface import (
-    Action, Cancel, Count, Due, Effect, Event, Fail, Group, Left, Members, Outcome, Plan, Refuse, Request,
-    RequestClass, Scope, Send, Server, Settings, State, Subscribe, Total, Verdict, Wake, Where,
+    Action, Cancel, Count, Due, Effect, Event, Fail, Group, Left, Members, Outcome, Plan, Reason, Refuse,
+    Request, RequestClass, Scope, Send, Server, Settings, State, Subscribe, Total, Verdict, Wake, Where,
 )
 
 SECOND_MS = 1000.0  # quotas are told per second, the clock runs in milliseconds
@@ -633,9 +633,10 @@
             return self._send(now, job)
         wait = led.quota.wait(now, event.units) if led.told else 0.0
         if led.plan.open_limit and led.open >= max(led.plan.open_limit * led.part(), 1.0):
-            wait = max(wait, OPEN_WAIT_MS)  # the others' attempts out are guessed by their part of the units
+            # The others' attempts out are guessed by their part of the units.
+            return self._beyond(now, job, max(wait, OPEN_WAIT_MS), Reason.OPEN_LIMIT)
         if wait > 0:
-            return self._beyond(now, job, wait)
+            return self._beyond(now, job, wait, Reason.QUOTA)
         if self._quota.spare(now, led, event.units):
             return self._unconfirmed(now, job, True)
         patient = event.remaining_ms > HOLD_TIMES * self._settings.counter_timeout_ms
@@ -648,16 +649,16 @@
     def _unconfirmed(self, now: float, job: Job, spare: bool = False) -> list[Action]:
         """Decide without the counter: the own part of the quota, and of the ceiling's headroom."""
         led, units = job.ledger, job.request.units
-        wait = 0.0 if spare else self._quota.unheard_wait(now, led, units)
+        wait, reason = 0.0 if spare else self._quota.unheard_wait(now, led, units), Reason.UNHEARD
         if not spare and not self._fleet.calm(now) and not self._fleet.idle(now):
             # What the counter has not confirmed goes first when room gets short: one in four lies beyond its
             # quota, and they fill the servers for those inside.  Covers every overload; harms, mildly, where
             # the counter is down and the servers are slow for a reason that fewer sends do not mend.
-            wait = max(wait, led.quota.per_unit)
+            wait, reason = max(wait, led.quota.per_unit), Reason.OVERLOAD if wait <= 0 else reason
         if wait > 0:
-            return self._beyond(now, job, wait)
+            return self._beyond(now, job, wait, reason)
         if led.head and led.head.room(now) < units:
-            return self._refuse(now, job, led.quota.per_unit)
+            return self._refuse(now, job, led.quota.per_unit, Reason.CEILING)
         actions = self._send(now, job)
         if job.attempts:
             led.own.take(units, now)
@@ -670,12 +671,12 @@
                 actions.append(self._wake(now + FLUSH_SHARE * led.period_ms, led))
         return actions
 
-    def _beyond(self, now: float, job: Job, wait: float) -> list[Action]:
+    def _beyond(self, now: float, job: Job, wait: float, reason: Reason) -> list[Action]:
         """Refuse with the retry-after, unless the plan earns more beyond the quota than it costs, the servers
         have room to spare and the own part of the headroom holds it: it is in nobody else's books."""
         led, units = job.ledger, job.request.units
         if led.plan.over_worth <= led.plan.over_cost or (led.head and led.head.room(now) < units):
-            return self._refuse(now, job, wait)
+            return self._refuse(now, job, wait, reason)
         actions = self._send(now, job, BEYOND_FIT)
         if job.attempts and led.head:
             led.head.take(units, now)
@@ -698,7 +699,8 @@
                 continue
             wait = led.quota.wait(now, units)
             self._quota.judged(led, wait <= 0)
-            actions += self._beyond(now, job, wait) if wait > 0 else self._send(now, job)
+            actions += (self._beyond(now, job, wait, Reason.QUOTA) if wait > 0
+                        else self._send(now, job))
             if wait <= 0 and job.attempts:
                 led.quota.take(units, now)
             else:
@@ -707,9 +709,9 @@
             actions += self._quota.ask(now, led)
         return actions
 
-    def _refuse(self, now: float, job: Job, wait: float) -> list[Action]:
+    def _refuse(self, now: float, job: Job, wait: float, reason: Reason) -> list[Action]:
         self._drop(job.request.id)
-        return [Refuse(job.request.id, max(wait, 1.0))]
+        return [Refuse(job.request.id, max(wait, 1.0), reason)]
 
     def _allowed(self, now: float, job: Job) -> Where | Literal[False]:
         """Which servers the class's rule on repeats leaves: a test, None for all, False for none."""
@@ -732,10 +734,13 @@
         allowed = self._allowed(now, job)
         spent = len(job.attempts) >= self._settings.max_attempts
         if allowed is False or spent or left <= self._settings.tick_ms:
-            return self._give_up(now, job)
-        choice = None if self._fleet.crowded() else self._fleet.pick(now, allowed, job.attempts)
+            late = left <= self._settings.tick_ms
+            return self._give_up(now, job, Reason.LATE if late else Reason.SPENT)
+        crowded = self._fleet.crowded()
+        choice = None if crowded else self._fleet.pick(now, allowed, job.attempts)
         if choice is None or choice[1] > fit * aim_left:
-            return self._give_up(now, job)
+            full = crowded or choice is not None
+            return self._give_up(now, job, Reason.OVERLOAD if full else Reason.NO_SERVER)
         server, attempt = choice[0].id, len(job.attempts)
         if attempt == 0:
             share = RETRY_CALM if self._fleet.calm(now) else RETRY_SHARE
@@ -749,12 +754,12 @@
             actions.append(self._wake(now + patience, (job.request.id, attempt, patience)))
         return actions
 
-    def _give_up(self, now: float, job: Job) -> list[Action]:
+    def _give_up(self, now: float, job: Job, reason: Reason) -> list[Action]:
         """The final answer: a refusal where a client's retry is certain to do no harm, else a failure."""
         harmless = (job.first_risk is None or job.cls.effect is Effect.SAFE
                     or (job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL))
         if harmless:
-            return self._refuse(now, job, job.cls.aim_ms * 0.1)
+            return self._refuse(now, job, job.cls.aim_ms * 0.1, reason)
         self._drop(job.request.id)
         return [Fail(job.request.id)]
 
@@ -768,7 +773,7 @@
             job.first_risk = job.server, now - event.rtt_ms
         self._book(job, None)
         if self._retries < 1:
-            return self._give_up(now, job)
+            return self._give_up(now, job, Reason.SPENT)
         self._retries -= 1
         return self._send(now, job)
 
--- a/martenstep/interface.py
+++ b/martenstep/interface.py
@@ -45,6 +45,19 @@
         return self in (Verdict.FULL, Verdict.CONNECT_FAILED, Verdict.MOOT)
 
 
+class Reason(Enum):
+    """Why a request is turned away, for the client and the operators; decides nothing."""
+
+    QUOTA = "quota"  # the customer's use, as far as it is known, leaves no room in its plan
+    UNHEARD = "unheard"  # the counter has not told of the customer and the own part of its quota is used
+    CEILING = "ceiling"  # the own part of the ceiling's headroom is used
+    OPEN_LIMIT = "open limit"  # the plan's limit of attempts out is reached
+    OVERLOAD = "overload"  # the servers have no room for it in time
+    NO_SERVER = "no server"  # no server is listed that it may go to
+    SPENT = "spent"  # no further attempt is allowed: their number, the retry budget or the class's window
+    LATE = "late"  # too little of the client's deadline is left
+
+
 class State(Enum):
     """What discovery says of a server."""
 
@@ -269,6 +282,7 @@
 
     id: str
     retry_after_ms: float = 0.0
+    reason: Reason = Reason.OVERLOAD
 
 
 @dataclass(frozen=True, slots=True)
