--- /dev/null
+++ b/martenstep/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m martenstep`."""
+
+from martenstep.cli.main import main
+
+main()
--- /dev/null
+++ b/martenstep/config/settings.py
@@ -0,0 +1,281 @@
+"""Loads a door's settings, tells all that is wrong with them, and turns them into the module's."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections.abc import Callable, Iterable, Sequence
+from pathlib import Path
+from typing import Any
+
+from martenstep import interface as api
+from martenstep.config import door_pb2 as pb
+from martenstep.config.text import Fault, Faults, Node, parse
+
+EFFECTS = {pb.SAFE: api.Effect.SAFE, pb.KEYED: api.Effect.KEYED, pb.UNSAFE: api.Effect.UNSAFE}
+GROUPS = {pb.ALL: api.Group.ALL, pb.ZONE: api.Group.ZONE, pb.CELL: api.Group.CELL}
+TICK_MS = 1.0  # a socket's answer takes about this: what is left of a deadline below it is of no use
+ERROR_STATUS = (500, 502, 503, 504)
+MOST_PORT = 65535
+CUSTOMER_BITS = 33  # the module's customers are numbers below 2^33
+METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "PATCH")
+
+
+def customer_id(key: str) -> int:
+    """The module's number of a customer: the same at every door, whatever the order of their files."""
+    digest = hashlib.blake2b(key.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") >> (64 - CUSTOMER_BITS)
+
+
+class Checker:
+    """Gathers the faults of one file."""
+
+    def __init__(self) -> None:
+        self.faults: list[Fault] = []
+
+    def fault(self, node: Node, text: str) -> None:
+        """Note one."""
+        self.faults.append(Fault(node.line, node.column, node.path, text))
+
+    def number(self, message: Any, node: Node, name: str, least: float, most: float = math.inf) -> None:
+        """A figure within bounds."""
+        value = getattr(message, name)
+        if not least <= value <= most:  # also catches nan
+            bounds = f"at least {least:g}" if most == math.inf else f"from {least:g} to {most:g}"
+            self.fault(node.at(name), f"expected {bounds}, got {value:g}")
+
+    def above_zero(self, message: Any, node: Node, *names: str) -> None:
+        """Figures that must be above 0 and finite."""
+        for name in names:
+            value = getattr(message, name)
+            if not 0 < value < math.inf:
+                self.fault(node.at(name), f"expected above 0, got {value:g}" if message.HasField(name)
+                           else "missing, expected above 0")
+
+    def needed(self, message: Any, node: Node, *names: str) -> None:
+        """Words that must be there."""
+        for name in names:
+            if not getattr(message, name):
+                self.fault(node.at(name), "missing")
+
+    def unique(self, nodes: Sequence[Node], messages: Iterable[Any], name: str) -> None:
+        """No two entries of one name."""
+        seen: dict[str, int] = {}
+        for node, message in zip(nodes, messages, strict=True):
+            value = getattr(message, name)
+            if value and value in seen:
+                self.fault(node.at(name), f"{value!r} is taken by the entry at line {seen[value]}")
+            seen.setdefault(value, node.line)
+
+    def known(self, message: Any, node: Node, name: str, names: set[str], what: str) -> None:
+        """A word that names an entry elsewhere."""
+        value = getattr(message, name)
+        if not value:
+            self.fault(node.at(name), "missing")
+        elif value not in names:
+            listed = ", ".join(sorted(names)) or "none"
+            self.fault(node.at(name), f"no {what} is named {value!r} (there are: {listed})")
+
+    def port(self, message: Any, node: Node, any_free: bool) -> None:
+        """A port number; 0 stands for any that is free, where that makes sense."""
+        if message.port > MOST_PORT:
+            self.fault(node.at("port"), f"expected a port from {0 if any_free else 1} to {MOST_PORT}, "
+                                        f"got {message.port}")
+        elif not message.port and not any_free:
+            self.fault(node.at("port"), f"missing, expected a port from 1 to {MOST_PORT}")
+
+
+def check_class(check: Checker, entry: pb.RequestClass, node: Node) -> None:
+    """One class of requests."""
+    check.needed(entry, node, "name")
+    check.above_zero(entry, node, "aim_ms", "deadline_ms")
+    if entry.aim_ms > entry.deadline_ms > 0:
+        check.fault(node.at("aim_ms"), f"expected no more than the deadline of {entry.deadline_ms:g}, "
+                                       f"got {entry.aim_ms:g}")
+    check.number(entry, node, "worth", 0)
+    if entry.effect == pb.KEYED:
+        check.above_zero(entry, node, "window_ms")
+    else:
+        for name in ("window_ms", "group"):
+            if entry.HasField(name):
+                check.fault(node.at(name), "is of use only with effect: KEYED")
+
+
+def check_plan(check: Checker, entry: pb.Plan, node: Node) -> None:
+    """One plan."""
+    check.needed(entry, node, "name")
+    for name in ("rate", "burst", "price", "over_worth", "over_cost", "ceiling_rate", "ceiling_burst",
+                 "ceiling_slack"):
+        check.number(entry, node, name, 0, 1e12)
+    if entry.rate > 0 and not entry.burst > 0:
+        check.fault(node.at("burst"), "missing, expected above 0 where there is a rate")
+    if entry.burst > 0 and not entry.rate > 0:
+        check.fault(node.at("rate"), "missing, expected above 0 where there is a burst")
+    if entry.ceiling_rate > 0:
+        for name, least in (("ceiling_rate", entry.rate), ("ceiling_burst", entry.burst)):
+            if getattr(entry, name) < least:
+                check.fault(node.at(name), f"expected no less than the quota's {least:g}")
+    elif entry.ceiling_burst or entry.ceiling_slack:
+        check.fault(node.at("ceiling_rate"), "missing, expected above 0 where there is a ceiling")
+
+
+def check_rules(check: Checker, rules: pb.Rules, node: Node) -> None:
+    """The figures of the rules."""
+    for name in ("answer_slack_ms", "drain_grace_ms", "warm_within_ms", "fall_window_ms"):
+        check.number(rules, node, name, 0, 1e9)
+    check.number(rules, node, "cold_from", 0, 1)
+    check.number(rules, node, "fall_multiple", 1, 1e6)
+    if rules.warm_within_ms and not rules.fall_window_ms:
+        check.fault(node.at("fall_window_ms"), "missing, expected above 0 where servers start cold")
+
+
+def _check_route(check: Checker, entry: pb.Route, node: Node, classes: set[str], max_units: float) -> None:
+    check.known(entry, node, "class", classes, "class")
+    check.above_zero(entry, node, "units")
+    if entry.units > max_units:
+        check.fault(node.at("units"), f"expected no more than max_units of {max_units:g}, got {entry.units:g}")
+    if not entry.path_prefix.startswith("/"):
+        check.fault(node.at("path_prefix"), f"expected a path that begins with '/', got {entry.path_prefix!r}")
+    for method in entry.method:
+        if method not in METHODS:
+            check.fault(node.at("method"), f"expected one of {', '.join(METHODS)}, got {method!r}")
+    if entry.WhichOneof("identity") is None:
+        check.fault(node, "missing customer_header or customer_segment: who the customer is")
+    elif entry.HasField("customer_segment") and not entry.customer_segment:
+        check.fault(node.at("customer_segment"), "expected at least 1")
+
+
+def _check_parts(check: Checker, door: pb.Door, root: Node) -> None:
+    """Listener, upstream, store, members, admin and log."""
+    node = root.at("listener")
+    check.port(door.listener, node, any_free=True)
+    for name in ("max_connections", "max_open", "head_bytes"):
+        check.number(door.listener, node, name, 1)
+    check.above_zero(door.listener, node, "idle_ms", "head_ms")
+    if door.HasField("admin"):
+        check.port(door.admin, root.at("admin"), any_free=True)
+    node = root.at("upstream")
+    for name in ("connections", "max_attempts"):
+        check.number(door.upstream, node, name, 1)
+    check.above_zero(door.upstream, node, "connect_ms", "idle_ms", "answer_idle_ms")
+    check.number(door.upstream, node, "refusal_status", 400, 599)
+    for status in door.upstream.error_status:
+        if not 400 <= status <= 599:
+            check.fault(node.at("error_status"), f"expected a status from 400 to 599, got {status}")
+    if door.HasField("store"):
+        node = root.at("store")
+        check.port(door.store, node, any_free=False)
+        check.above_zero(door.store, node, "timeout_ms")
+        for name in ("connections", "waiting"):
+            check.number(door.store, node, name, 1)
+        shortest = min((entry.deadline_ms for entry in getattr(door, "class")), default=math.inf)
+        if door.store.timeout_ms >= shortest:
+            check.fault(node.at("timeout_ms"), f"expected below the shortest deadline of {shortest:g}")
+    if door.HasField("members"):
+        node = root.at("members")
+        check.port(door.members, node, any_free=False)
+        check.above_zero(door.members, node, "wait_ms")
+    else:
+        check.fault(root.at("members"), "missing: a door needs a feed of its servers")
+
+
+def check_door(check: Checker, door: pb.Door, root: Node) -> None:
+    """All of a door's settings."""
+    check.needed(door, root, "name", "zone")
+    check.number(door, root, "instances", 1, 100_000)
+    if door.instances and door.instance >= door.instances:
+        check.fault(root.at("instance"), f"expected below instances of {door.instances}, got {door.instance}")
+    check.above_zero(door, root, "max_units", "stop_ms")
+    check.number(door, root, "max_retry_after_ms", 0, 1e9)
+    classes, plans = list(getattr(door, "class")), list(door.plan)
+    tables: list[tuple[str, list[Any], Callable[[Checker, Any, Node], None], str]] = [
+        ("class", classes, check_class, "name"), ("plan", plans, check_plan, "name"),
+    ]
+    for name, entries, one, key in tables:
+        nodes = root.all(name)
+        if not entries:
+            check.fault(root.at(name), "missing: at least one is needed")
+        for entry, node in zip(entries, nodes, strict=True):
+            one(check, entry, node)
+        check.unique(nodes, entries, key)
+    plan_names = {entry.name for entry in plans}
+    nodes = root.all("customer")
+    ids: dict[int, str] = {}
+    for customer, node in zip(door.customer, nodes, strict=True):
+        check.needed(customer, node, "key")
+        check.known(customer, node, "plan", plan_names, "plan")
+        if customer.doors > door.instances:
+            check.fault(node.at("doors"), f"expected no more than instances of {door.instances}")
+        if customer.first_door >= max(door.instances, 1):
+            check.fault(node.at("first_door"), f"expected below instances of {door.instances}")
+        other = ids.setdefault(customer_id(customer.key), customer.key)
+        if other != customer.key:
+            check.fault(node.at("key"), f"has the same number as {other!r}: give it another name")
+    check.unique(nodes, door.customer, "key")
+    if door.default_plan:
+        check.known(door, root, "default_plan", plan_names, "plan")
+    if not door.route:
+        check.fault(root.at("route"), "missing: at least one is needed")
+    for route, node in zip(door.route, root.all("route"), strict=True):
+        _check_route(check, route, node, {entry.name for entry in classes}, door.max_units)
+    check.unique(root.all("route"), door.route, "name")
+    check_rules(check, door.rules, root.at("rules"))
+    _check_parts(check, door, root)
+
+
+def read_text(path: Path) -> str:
+    """A file's text; raises Faults where it cannot be read."""
+    try:
+        return path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise Faults(str(path), [Fault(1, 1, "", error.strerror or "cannot be read")]) from None
+    except UnicodeDecodeError as error:
+        raise Faults(str(path), [Fault(1, 1, "", f"not UTF-8 at byte {error.start}")]) from None
+
+
+def parse_door(text: str, file: str) -> pb.Door:
+    """A door's settings from text; raises Faults with all that is wrong."""
+    door, root, faults = parse(text, pb.Door(), file)
+    if not faults:
+        check = Checker()
+        check_door(check, door, root)
+        faults = check.faults
+    if faults:
+        raise Faults(file, faults)
+    return door
+
+
+def load_door(path: Path) -> pb.Door:
+    """A door's settings from a file; raises Faults with all that is wrong."""
+    return parse_door(read_text(path), str(path))
+
+
+def class_of(entry: pb.RequestClass) -> api.RequestClass:
+    """A class in the module's terms."""
+    return api.RequestClass(name=entry.name, aim_ms=entry.aim_ms, deadline_ms=entry.deadline_ms,
+                            effect=EFFECTS[entry.effect], group=GROUPS[entry.group],
+                            window_ms=entry.window_ms, worth=entry.worth)
+
+
+def plan_of(entry: pb.Plan) -> api.Plan:
+    """A plan in the module's terms."""
+    return api.Plan(name=entry.name, rate=entry.rate, burst=entry.burst, open_limit=entry.open_limit,
+                    price=entry.price, over_worth=entry.over_worth, over_cost=entry.over_cost,
+                    ceiling_rate=entry.ceiling_rate, ceiling_burst=entry.ceiling_burst,
+                    ceiling_slack=entry.ceiling_slack)
+
+
+def module_settings(door: pb.Door) -> api.Settings:
+    """What the module is told at its start."""
+    rules = door.rules
+    return api.Settings(
+        me=door.instance, gateways=door.instances, zone=door.zone, tick_ms=TICK_MS,
+        classes=tuple(class_of(entry) for entry in getattr(door, "class")),
+        plans=tuple(plan_of(entry) for entry in door.plan),
+        has_counter=door.HasField("store"), counter_timeout_ms=door.store.timeout_ms,
+        max_units=door.max_units, max_attempts=door.upstream.max_attempts, can_cancel=door.upstream.cancel,
+        retry_after=True, max_retry_after_ms=door.max_retry_after_ms, must_subscribe=True,
+        ask_within_ms=0.0, answer_slack_ms=rules.answer_slack_ms, cold_from=rules.cold_from,
+        warm_within_ms=rules.warm_within_ms, fall_multiple=rules.fall_multiple,
+        fall_window_ms=rules.fall_window_ms, sized=True,
+    )
--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -209,6 +209,11 @@
         found.used = now
         return found
 
+    def room(self, now: float, customer: int) -> float | None:
+        """Units left of a customer's burst; None where no ledger is kept or there is no quota."""
+        led = self._ledgers.get(customer)
+        return None if led is None or led.plan.rate <= 0 else max(led.quota.room(now), 0.0)
+
     @staticmethod
     def _pays(led: Ledger) -> bool:
         """Whether a send without the counter's word earns about what it costs, as such tries go."""
@@ -606,6 +611,10 @@
                     return [Subscribe()]
         return []
 
+    def room(self, now: float, customer: int) -> float | None:
+        """Units left of a customer's burst as far as this gateway knows, for the host to tell."""
+        return self._quota.room(now, customer)
+
     def _drop(self, rid: str) -> None:
         """Forget a request that has its final answer, or whose client left, and free its place."""
         job = self._jobs.pop(rid, None)
--- /dev/null
+++ b/martenstep/door/daemon.py
@@ -0,0 +1,121 @@
+"""The door as a process: settings in, sockets bound, signals obeyed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+from typing import Any
+
+from martenstep.config import door_pb2 as pb
+from martenstep.door.admin import Admin, DoorCollector
+from martenstep.door.driver import Driver, now_ms
+from martenstep.door.engine import Engine
+from martenstep.door.events import Counted
+from martenstep.door.log import Notes, configure
+from martenstep.interface import Scope, Verdict
+from martenstep.members.feed import Feed
+from martenstep.members.lists import Listed
+from martenstep.store.redis_store import RedisStore
+
+
+class Daemon:
+    """One door with its store, its feed and its admin listener."""
+
+    def __init__(self, door: pb.Door, seed: int | None = None) -> None:
+        self.door = door
+        self.notes = Notes(door.log, door.name)
+        self.engine = Engine(door, random.SystemRandom().getrandbits(63) if seed is None else seed)
+        self.driver = Driver(door, self.engine, self.notes.note)
+        self.ready = False
+        self._store = RedisStore(door.store, self._counted) if door.HasField("store") else None
+        self._feed = Feed(door.members, door.name, self._listed, self._odd, now_ms)
+        self._feeding: asyncio.Task[None] | None = None
+        self._admin = Admin(DoorCollector(self._counts, self._gauges), lambda: self.ready)
+        self.ports: dict[str, int] = {}
+
+    async def start(self) -> None:
+        """Bind everything; the listener last, so that the first request finds the list."""
+        self.driver.listen = self._feed.listen
+        if self._store is not None:
+            self._store.start()
+            self.driver.add = self._store.add
+        self._feed.warm()
+        self._feeding = asyncio.create_task(self._feed.run())
+        self._feeding.add_done_callback(self._feed_ended)
+        if self.door.HasField("admin"):
+            self.ports["admin"] = await self._admin.start(self.door.admin.host, self.door.admin.port)
+        self.ports["listener"] = await self.driver.start()
+        self.ready = True
+        self.notes.note("ready", dict(self.ports))
+
+    async def stop(self) -> bool:
+        """Leave in a bounded time; True where all that was held was answered by itself."""
+        self.ready = False
+        self.notes.note("stopping", {"open": self.engine.open})
+        clean = await self.driver.stop(self.door.stop_ms)
+        if self._feeding is not None:
+            self._feeding.cancel()
+        if self._store is not None:
+            await self._store.stop()
+        self._admin.stop()
+        self.notes.note("stopped", {"clean": clean, **self.engine.held})
+        return clean
+
+    def _counted(self, call: int, verdict: Verdict, total: float) -> None:
+        self.driver.act(Counted(call, verdict, total))
+
+    def _listed(self, listed: Listed) -> None:
+        if listed.scope is not Scope.CHANGES:
+            self.notes.note("members", {"scope": listed.scope.value, "servers": len(listed.servers)})
+        self.driver.act(listed)
+
+    def _odd(self, what: str, text: str) -> None:
+        self.notes.note(what, {"text": text})
+
+    def _feed_ended(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self.notes.note("fault", {"where": "feed", "error": repr(task.exception())})
+
+    def _counts(self) -> dict[str, float]:
+        return {**self.driver.counts, "upstream_connections_opened": self.driver.pool.opened}
+
+    def _gauges(self) -> dict[str, float]:
+        held: dict[str, float] = {f"held_{name}": value for name, value in self.engine.held.items()}
+        return {**held, "client_connections": len(self.driver.clients),
+                "upstream_connections": self.driver.pool.connections}
+
+
+async def serve(door: pb.Door, seed: int | None = None) -> int:
+    """Run a door until SIGTERM or SIGINT; gives the exit code."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    daemon = Daemon(door, seed)
+    loop.set_exception_handler(lambda _, context: _loop_fault(daemon, context))
+    try:
+        await daemon.start()
+    except OSError as error:
+        daemon.notes.note("cannot start", {"error": error.strerror or str(error)})
+        return 1
+    sys.stdout.write(json.dumps({"ready": daemon.ports, "pid": os.getpid()}) + "\n")
+    sys.stdout.flush()
+    await stop.wait()
+    await daemon.stop()
+    return 0
+
+
+def _loop_fault(daemon: Daemon, context: dict[str, Any]) -> None:
+    """What the event loop cannot hand to anybody; running out of file descriptors on accept is the usual one."""
+    error = context.get("exception")
+    daemon.notes.note("fault", {"where": str(context.get("message", "")), "error": repr(error) if error else ""})
+
+
+def run(door: pb.Door, seed: int | None = None) -> int:
+    """Run a door in this process."""
+    configure(door.log.form)
+    return asyncio.run(serve(door, seed))
--- /dev/null
+++ b/martenstep/door/driver.py
@@ -0,0 +1,673 @@
+"""Binds the engine to sockets.
+
+One coroutine a client connection reads requests in turn; one task an attempt writes to a server and reads its
+answer.  Whatever is to be decided goes to the engine as an event, and what it answers is done here and now: between
+the engine's word and the bytes there is no await, so that nothing is written for an attempt that was given up.
+
+Bodies are read from the client only once an attempt wants them, and only so far ahead as is kept for a further
+attempt; an answer is held back until it is whole or outgrows the stated bound, so that a broken one can still be
+replaced by another attempt's.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+import h11
+
+from martenstep.config import door_pb2 as pb
+from martenstep.door import events as ev
+from martenstep.door.engine import Engine
+from martenstep.door.events import Ending
+from martenstep.door.http import own_answer
+from martenstep.door.wires import AcceptingProtocol, Pool, Upstream, WatchedProtocol, WatchedReader
+
+READ_BYTES = 65536  # of one read, and what a stream buffers before it stops reading
+SWEEP_MS = 250.0  # how often idle and stalled connections are looked for
+LINGER_BYTES = 262144  # of an unread body that are read and thrown away, so that a reset does not eat the answer
+LINGER_MS = 1000.0
+STATUS_OF_HINT = {400: "bad request", 431: "head too large", 501: "transfer coding not known"}
+
+
+def now_ms() -> float:
+    """The driver's clock."""
+    return time.monotonic() * 1000.0
+
+
+class Body:
+    """A request's body: what is kept of it for a further attempt, and where the present attempt is."""
+
+    __slots__ = ("_bound", "base", "complete", "kept", "length", "pos", "room", "size", "wake")
+
+    def __init__(self, bound: int, length: int | None) -> None:
+        self._bound = max(bound, 1)
+        self.length = length  # as the head told; None: chunked
+        self.kept = bytearray()
+        self.base = 0  # bytes before those that are kept
+        self.size = 0  # bytes read so far
+        self.pos = 0  # bytes that the present attempt has written
+        self.complete = False
+        self.wake = asyncio.Event()  # more has come, or the end
+        self.room = asyncio.Event()  # more may be read
+        self.room.set()
+
+    def put(self, data: bytes) -> None:
+        """Bytes from the client."""
+        self.kept += data
+        self.size += len(data)
+        self.wake.set()
+        if self.size - self.base > self._bound:
+            self.room.clear()
+
+    def take(self) -> bytes:
+        """What the present attempt has not written yet."""
+        data = bytes(self.kept[self.pos - self.base:])
+        self.pos = self.size
+        return data
+
+    def trim(self) -> bool:
+        """Let go of what has been written, where more must be read than is kept; True the first time."""
+        if self.room.is_set():
+            return False
+        first = self.base == 0
+        del self.kept[: self.pos - self.base]
+        self.base = self.pos
+        if self.size - self.base <= self._bound:
+            self.room.set()
+        return first
+
+    def rewind(self) -> None:
+        """A further attempt begins at the start."""
+        self.pos = self.base
+
+
+class Flight:
+    """One client request on its way."""
+
+    __slots__ = ("body", "client", "done", "held", "held_bytes", "passing", "progress", "pump", "task", "ticket",
+                 "upstream")
+
+    def __init__(self, ticket: int, client: Client, body: Body | None, done: asyncio.Future[None]) -> None:
+        self.ticket, self.client, self.body, self.done = ticket, client, body, done
+        self.task: asyncio.Task[None] | None = None  # of the present attempt
+        self.pump: asyncio.Task[None] | None = None  # reads the client's body
+        self.upstream: Upstream | None = None
+        self.held: list[bytes] = []  # of the answer, not passed on yet
+        self.held_bytes = 0
+        self.passing = False  # the answer has begun to go to the client
+        self.progress = 0.0  # when a begun answer last moved
+
+    def finish(self) -> None:
+        """The client has its answer, or can get none any more."""
+        if not self.done.done():
+            self.done.set_result(None)
+
+
+class Client:
+    """One client connection."""
+
+    def __init__(self, driver: Driver, reader: WatchedReader, writer: asyncio.StreamWriter,
+                 protocol: WatchedProtocol) -> None:
+        self._driver, self.reader, self.writer = driver, reader, writer
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=driver.listener.head_bytes)
+        self.flight: Flight | None = None
+        self.since = now_ms()  # when it began to wait for a head
+        self.partial = False  # a head has begun to come
+        self.closing = False
+        peer = writer.get_extra_info("peername")
+        self.peer = str(peer[0]) if peer else ""
+        protocol.on_lost = self._lost
+        if driver.listener.leave_on_half_close:
+            protocol.on_half_close = self._lost
+
+    def _lost(self) -> None:
+        self.closing = True
+        if self.flight is not None:
+            self._driver.act(ev.ClientLeft(self.flight.ticket))
+            self.flight.finish()
+
+    async def run(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while not self.closing:
+                request = await self._head()
+                if request is None:
+                    break
+                await self._serve(request)
+                if not await self._next():
+                    break
+        except h11.RemoteProtocolError as error:
+            self._refuse_bytes(error)
+            await self._linger()
+        except (ConnectionError, TimeoutError, OSError):
+            pass
+        finally:
+            self.writer.close()
+
+    async def _event(self) -> Any:
+        """The next event of the client's bytes."""
+        while True:
+            event = self.h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self.reader.read(READ_BYTES)
+            if self.flight is None and not self.partial:
+                self.partial, self.since = True, now_ms()
+            self.h11.receive_data(data)
+
+    async def _head(self) -> h11.Request | None:
+        self.since = now_ms()
+        self.partial = bool(self.h11.trailing_data[0])
+        event = await self._event()
+        return event if isinstance(event, h11.Request) else None
+
+    def _refuse_bytes(self, error: h11.RemoteProtocolError) -> None:
+        """What came is not HTTP that the door takes: a 4xx, and the connection ends."""
+        if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE) or self.closing:
+            return
+        status = error.error_status_hint
+        self.plain(status, STATUS_OF_HINT.get(status, "bad request"))
+
+    def plain(self, status: int, reason: str) -> None:
+        """An answer of the door's own outside the engine; the connection ends after it."""
+        headers, body = own_answer(reason, "", None)
+        self.closing = True
+        self.answer(status, [*headers, (b"connection", b"close")], [body])
+
+    def answer(self, status: int, headers: ev.Headers, parts: list[bytes]) -> None:
+        """A whole answer in one write."""
+        if self.writer.transport.is_closing() or self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        try:
+            out = [self.h11.send(h11.Response(status_code=status, headers=headers)) or b""]
+            out += [self.h11.send(h11.Data(data=part)) or b"" for part in parts]
+            out.append(self.h11.send(h11.EndOfMessage()) or b"")
+        except h11.LocalProtocolError:  # a length that does not fit what came: the client must not take it for whole
+            self.abort()
+            return
+        self.writer.write(b"".join(out))
+
+    def abort(self) -> None:
+        """Break the connection, so that the client sees that its answer is not whole."""
+        self.closing = True
+        self.writer.transport.abort()
+
+    async def _serve(self, request: h11.Request) -> None:
+        """One request, to its final answer."""
+        driver = self._driver
+        names = [name for name, _ in request.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            # RFC 9112 6.3: two lengths are how requests are smuggled past one of two readers.
+            self.plain(400, "both content-length and transfer-encoding")
+            await self._linger()
+            return
+        body: Body | None = None
+        if self.h11.their_state is h11.SEND_BODY:
+            length = next((int(value) for name, value in request.headers if name == b"content-length"), None)
+            if length is not None and length > driver.listener.body_bytes:
+                self.plain(413, "body too large")
+                await self._linger()
+                return
+            if length != 0 and not (length is None and b"transfer-encoding" not in names):
+                body = Body(driver.upstream.keep_body_bytes, length)
+        if body is None:
+            self.h11.next_event()  # the end of a message without a body
+        ticket = driver.ticket()
+        flight = self.flight = Flight(ticket, self, body, driver.loop.create_future())
+        driver.flights[ticket] = flight
+        try:
+            driver.act(ev.Arrived(ticket, request.method, request.target, list(request.headers), self.peer,
+                                  body is not None))
+            await flight.done
+            if flight.pump is not None and not flight.pump.done():
+                flight.pump.cancel()
+                with suppress(asyncio.CancelledError):
+                    await flight.pump
+            if not self.writer.transport.is_closing():
+                await self.writer.drain()
+        finally:
+            self.flight = None
+            if not (flight.task and not flight.task.done()):
+                driver.flights.pop(ticket, None)
+
+    async def _next(self) -> bool:
+        """Whether another request can follow on this connection."""
+        if self.closing or self._driver.stopping:
+            return False
+        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
+            self.h11.start_next_cycle()
+            return True
+        if self.h11.our_state is h11.MUST_CLOSE or self.h11.their_state is h11.SEND_BODY:
+            await self._linger()
+        return False
+
+    async def _linger(self) -> None:
+        """Read on for a while what the client still writes: closing at once would reset the connection, and the
+        answer with it."""
+        if self.writer.transport.is_closing():
+            return
+        with suppress(OSError, RuntimeError):
+            self.writer.write_eof()
+        read = 0
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(LINGER_MS / 1000):
+                while read < LINGER_BYTES:
+                    data = await self.reader.read(READ_BYTES)
+                    if not data:
+                        break
+                    read += len(data)
+
+    async def pump(self, flight: Flight) -> None:
+        """Read the body, as far as there is room for it."""
+        body = flight.body
+        assert body is not None
+        try:
+            if self.h11.they_are_waiting_for_100_continue:
+                self.writer.write(self.h11.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
+            while not body.complete:
+                await body.room.wait()
+                event = await self._event()
+                if isinstance(event, h11.Data):
+                    body.put(bytes(event.data))
+                    if body.size > self._driver.listener.body_bytes:
+                        self._give_up(flight, 413, "body too large")
+                        return
+                elif isinstance(event, h11.EndOfMessage):
+                    body.complete = True
+                    body.wake.set()
+                else:
+                    self._give_up(flight, 400, "body broke off")
+                    return
+        except h11.RemoteProtocolError as error:
+            self._give_up(flight, error.error_status_hint, "bad body")
+        except (ConnectionError, OSError):
+            self._lost()
+
+    def _give_up(self, flight: Flight, status: int, reason: str) -> None:
+        """The request itself is at fault: the client's part of it is over."""
+        self._driver.act(ev.ClientLeft(flight.ticket))
+        if flight.passing:
+            self.abort()
+        else:
+            self.plain(status, reason)
+        flight.finish()
+
+
+class Driver:
+    """One door on sockets."""
+
+    def __init__(self, door: pb.Door, engine: Engine, note: Callable[[str, dict[str, Any]], None]) -> None:
+        self.listener, self.upstream = door.listener, door.upstream
+        self.engine, self._note = engine, note
+        self.loop = asyncio.get_running_loop()
+        self.pool = Pool(self.upstream.connections, self.upstream.idle_ms, READ_BYTES)
+        self.flights: dict[int, Flight] = {}
+        self.clients: set[Client] = set()
+        self.stopping = False
+        self.add: Callable[[int, int, float, float], None] | None = None  # the store, where there is one
+        self.listen: Callable[[], None] | None = None  # the feed
+        self.counts: dict[str, int] = {"connections_turned_away": 0, "requests": 0, "attempts": 0, "replies": 0,
+                                       "passed": 0, "broken": 0}
+        self._actions: deque[ev.Action] = deque()
+        self._acting = False
+        self._due: asyncio.TimerHandle | None = None
+        self._due_at = 0.0
+        self._ticket = 0
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+        self._carry: dict[type, Callable[[Any], None]] = {
+            ev.Open: self._open, ev.Abandon: self._abandon, ev.Pass: self._pass, ev.Reply: self._reply,
+            ev.Break: self._break, ev.Add: self._add, ev.Listen: self._listen, ev.Note: self._told,
+        }
+
+    # Life -----------------------------------------------------------------------------------------------
+
+    async def start(self) -> int:
+        """Bind and accept; gives the port."""
+        def factory() -> AcceptingProtocol:
+            return AcceptingProtocol(WatchedReader(READ_BYTES), self._connected)
+
+        self._server = await self.loop.create_server(factory, self.listener.host, self.listener.port, backlog=1024)
+        self._sweeper = asyncio.create_task(self._sweep())
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def stop(self, within_ms: float) -> bool:
+        """Accept no more, answer what is held, leave in a bounded time; True where all was answered by itself."""
+        self.stopping = True
+        if self._server is not None:
+            self._server.close()
+        until = now_ms() + within_ms
+        for client in list(self.clients):
+            if client.flight is None:
+                client.closing = True
+                client.writer.close()
+        while self.engine.open and now_ms() < until:
+            await asyncio.sleep(0.01)
+        clean = not self.engine.open
+        self._run(self.engine.stop(now_ms()))
+        for _ in range(5):  # the last answers are written, and their connections closed
+            await asyncio.sleep(0.01)
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for client in list(self.clients):
+            client.writer.close()
+        for flight in list(self.flights.values()):
+            if flight.task is not None:
+                flight.task.cancel()
+        self.pool.close()
+        if self._due is not None:
+            self._due.cancel()
+        return clean
+
+    def ticket(self) -> int:
+        """A number for the next request."""
+        self._ticket += 1
+        self.counts["requests"] += 1
+        return self._ticket
+
+    def _connected(self, reader: WatchedReader, writer: asyncio.StreamWriter, protocol: WatchedProtocol) -> None:
+        if len(self.clients) >= self.listener.max_connections or self.stopping:
+            self.counts["connections_turned_away"] += 1
+            client = Client(self, reader, writer, protocol)
+            client.plain(503, "full house")
+            writer.close()
+            return
+        client = Client(self, reader, writer, protocol)
+        self.clients.add(client)
+        task = self.loop.create_task(client.run())
+        task.add_done_callback(lambda done: self._disconnected(client, done))
+
+    def _disconnected(self, client: Client, task: asyncio.Task[None]) -> None:
+        self.clients.discard(client)
+        if not task.cancelled() and task.exception() is not None:
+            self._note("fault", {"where": "client", "error": repr(task.exception())})
+            client.abort()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_MS / 1000)
+            now = now_ms()
+            self.pool.sweep(now)
+            for client in list(self.clients):
+                if client.flight is not None or client.closing:
+                    continue
+                if client.partial and now - client.since > self.listener.head_ms:
+                    client.plain(408, "head too slow")
+                    client.writer.close()
+                elif not client.partial and now - client.since > self.listener.idle_ms:
+                    client.closing = True
+                    client.writer.close()
+            for flight in list(self.flights.values()):
+                if flight.passing and now - flight.progress > self.upstream.answer_idle_ms:
+                    self._failed(flight, self._number(flight), Ending.STALLED)
+
+    # Engine ---------------------------------------------------------------------------------------------
+
+    def act(self, event: ev.Event) -> None:
+        """Tell the engine, and do what it says."""
+        self._run(self.engine.handle(now_ms(), event))
+
+    def _run(self, actions: list[ev.Action]) -> None:
+        self._actions.extend(actions)
+        if self._acting:
+            return  # further down this stack the queue is being worked off, in order
+        self._acting = True
+        try:
+            while self._actions:
+                action = self._actions.popleft()
+                self._carry[type(action)](action)
+        finally:
+            self._acting = False
+        at = self.engine.next_at()
+        if at is not None and (self._due is None or at < self._due_at):
+            if self._due is not None:
+                self._due.cancel()
+            self._due_at = at
+            self._due = self.loop.call_at(self.loop.time() + max(at - now_ms(), 0.0) / 1000, self._tick)
+
+    def _tick(self) -> None:
+        self._due = None
+        self.act(ev.Tick())
+
+    def _told(self, action: ev.Note) -> None:
+        self._note(action.event, action.fields)
+
+    def _add(self, action: ev.Add) -> None:
+        assert self.add is not None, "the module counts only where the settings name a store"
+        self.add(action.call, action.name, action.units, action.expire_ms)
+
+    def _listen(self, action: ev.Listen) -> None:
+        if self.listen is not None:
+            self.listen()
+
+    # Answers --------------------------------------------------------------------------------------------
+
+    def _closes(self, flight: Flight) -> bool:
+        """Whether the connection must end after this answer: the daemon stops, or the body is not all read."""
+        return self.stopping or (flight.body is not None and not flight.body.complete)
+
+    def _reply(self, action: ev.Reply) -> None:
+        flight = self.flights.get(action.ticket)
+        if flight is None:
+            return
+        self.counts["replies"] += 1
+        headers = action.headers
+        if self._closes(flight):
+            headers = [*headers, (b"connection", b"close")]
+        flight.client.answer(action.status, headers, [action.body])
+        flight.finish()
+
+    def _pass(self, action: ev.Pass) -> None:
+        flight = self.flights.get(action.ticket)
+        if flight is None:
+            return
+        self.counts["passed"] += 1
+        headers, client = action.headers, flight.client
+        if self._closes(flight):
+            headers = [*headers, (b"connection", b"close")]
+        if action.whole:
+            client.answer(action.status, headers, flight.held)
+            flight.finish()
+            return
+        flight.passing, flight.progress = True, now_ms()
+        if client.writer.transport.is_closing() or client.h11.our_state is not h11.SEND_RESPONSE:
+            return
+        out = [client.h11.send(h11.Response(status_code=action.status, headers=headers)) or b""]
+        out += [client.h11.send(h11.Data(data=part)) or b"" for part in flight.held]
+        flight.held = []
+        client.writer.write(b"".join(out))
+
+    def _break(self, action: ev.Break) -> None:
+        flight = self.flights.get(action.ticket)
+        if flight is not None:
+            self.counts["broken"] += 1
+            flight.client.abort()
+            flight.finish()
+
+    # Attempts -------------------------------------------------------------------------------------------
+
+    @staticmethod
+    def _number(flight: Flight) -> int:
+        name = flight.task.get_name() if flight.task else "0"
+        return int(name)
+
+    def _open(self, action: ev.Open) -> None:
+        flight = self.flights.get(action.ticket)
+        if flight is None:
+            return
+        self.counts["attempts"] += 1
+        flight.held, flight.held_bytes = [], 0
+        upstream = self.pool.take(action.address)
+        if upstream is None and not self.pool.reserve(action.address):
+            self.act(ev.AttemptEnded(action.ticket, action.attempt, Ending.NO_PLACE))
+            return
+        flight.upstream = upstream
+        flight.task = self.loop.create_task(self._attempt(flight, action, upstream), name=str(action.attempt))
+
+    def _abandon(self, action: ev.Abandon) -> None:
+        flight = self.flights.get(action.ticket)
+        if flight is not None:
+            self._let_go(flight)
+
+    def _let_go(self, flight: Flight) -> None:
+        """End the present attempt's task and its connection, here and now."""
+        task, flight.task = flight.task, None
+        upstream, flight.upstream = flight.upstream, None
+        if upstream is not None:
+            self.pool.drop(upstream)
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+        if flight.done.done():
+            self.flights.pop(flight.ticket, None)
+
+    def _failed(self, flight: Flight, number: int, how: Ending) -> None:
+        """Tell of an attempt that ended by itself; its connection is of no more use."""
+        self._let_go(flight)
+        self.act(ev.AttemptEnded(flight.ticket, number, how))
+
+    async def _attempt(self, flight: Flight, action: ev.Open, upstream: Upstream | None) -> None:
+        """One attempt.  Cancelled when it is given up: its connection is dropped by whoever does that."""
+        number = action.attempt
+        if upstream is None:
+            try:
+                upstream = await self.pool.dial(action.address)
+            except OSError:
+                self.pool.release(action.address)
+                if flight.task is asyncio.current_task():
+                    flight.task = None
+                    self.act(ev.AttemptEnded(flight.ticket, number, Ending.NOT_CONNECTED))
+                return
+            except asyncio.CancelledError:
+                self.pool.release(action.address)
+                raise
+            if flight.task is not asyncio.current_task():  # given up while it was being made
+                self.pool.drop(upstream)
+                return
+            flight.upstream = upstream
+        if not upstream.sound:
+            self._failed(flight, number, Ending.NOT_WRITTEN)
+            return
+        try:
+            writing = self._write(flight, action, upstream)
+        except h11.LocalProtocolError:  # a head that may not be sent on, though it may come
+            self._failed(flight, number, Ending.NOT_WRITTEN)
+            return
+        feeding = None
+        if writing:
+            if flight.pump is None:
+                flight.pump = self.loop.create_task(flight.client.pump(flight))
+            feeding = self.loop.create_task(self._feed(flight, number, upstream))
+        try:
+            await self._read(flight, number, upstream, feeding)
+        except (ConnectionError, OSError):
+            if flight.upstream is upstream:
+                self._failed(flight, number, Ending.CLOSED)
+        except h11.RemoteProtocolError:
+            if flight.upstream is upstream:
+                ended = upstream.reader.at_eof()
+                self._failed(flight, number, Ending.CLOSED if ended else Ending.BAD_ANSWER)
+        finally:
+            if feeding is not None and not feeding.done():
+                feeding.cancel()
+
+    def _write(self, flight: Flight, action: ev.Open, upstream: Upstream) -> bool:
+        """Write the head, and the body as far as it is at hand; True where more of it is to come."""
+        body, headers = flight.body, list(action.headers)
+        if body is not None and body.length is None:
+            headers.append((b"transfer-encoding", b"chunked"))
+        if not any(name == b"host" for name, _ in headers):  # HTTP/1.0 has none
+            headers.append((b"host", f"{action.address[0]}:{action.address[1]}".encode()))
+        out = [upstream.h11.send(h11.Request(method=action.method, target=action.target, headers=headers)) or b""]
+        more = False
+        if body is not None:
+            body.rewind()
+            data = body.take()
+            if data:
+                out.append(upstream.h11.send(h11.Data(data=data)) or b"")
+            more = not body.complete
+        if not more:
+            out.append(upstream.h11.send(h11.EndOfMessage()) or b"")
+        # From here it may run.  No await between this word and the write.
+        self.act(ev.Written(flight.ticket, action.attempt))
+        upstream.writer.write(b"".join(out))
+        if body is not None and body.trim():
+            self.act(ev.BodyDropped(flight.ticket))
+        return more
+
+    async def _feed(self, flight: Flight, number: int, upstream: Upstream) -> None:
+        """Write the rest of the body as it comes from the client."""
+        body = flight.body
+        assert body is not None
+        with suppress(ConnectionError, OSError, h11.LocalProtocolError):  # the reading side tells how it ended
+            while flight.upstream is upstream:
+                if body.pos < body.size:
+                    upstream.writer.write(upstream.h11.send(h11.Data(data=body.take())) or b"")
+                    await upstream.writer.drain()
+                    if flight.upstream is upstream and body.trim():
+                        self.act(ev.BodyDropped(flight.ticket))
+                elif body.complete:
+                    upstream.writer.write(upstream.h11.send(h11.EndOfMessage()) or b"")
+                    return
+                else:
+                    body.wake.clear()
+                    await body.wake.wait()
+
+    async def _read(self, flight: Flight, number: int, upstream: Upstream,
+                    feeding: asyncio.Task[None] | None) -> None:
+        """Read the answer; pass it on as the engine says."""
+        connection, ticket, hold = upstream.h11, flight.ticket, self.upstream.hold_answer_bytes
+        client = flight.client
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                data = await upstream.reader.read(READ_BYTES)
+                if flight.upstream is not upstream:
+                    return
+                connection.receive_data(data)
+            elif isinstance(event, h11.Response):
+                self.act(ev.AnswerHead(ticket, number, event.status_code, list(event.headers)))
+                if flight.upstream is not upstream:
+                    return  # it was no answer to pass on
+            elif isinstance(event, h11.Data):
+                flight.progress = now_ms()
+                part = bytes(event.data)
+                if not flight.passing:
+                    flight.held.append(part)
+                    flight.held_bytes += len(part)
+                    if flight.held_bytes > hold:
+                        self.act(ev.AnswerBegun(ticket, number))
+                elif not client.writer.transport.is_closing():
+                    client.writer.write(client.h11.send(h11.Data(data=part)) or b"")
+                    await client.writer.drain()  # the server is read no faster than the client reads
+                    if flight.upstream is not upstream:
+                        return
+                    flight.progress = now_ms()
+            elif isinstance(event, h11.EndOfMessage):
+                self._whole(flight, number, upstream)
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                self._failed(flight, number, Ending.CLOSED)
+                return
+
+    def _whole(self, flight: Flight, number: int, upstream: Upstream) -> None:
+        """The answer is whole: the connection goes back to the pool, the client has its end."""
+        client = flight.client
+        flight.upstream = flight.task = None
+        passing = flight.passing
+        if passing and not client.writer.transport.is_closing():
+            with suppress(h11.LocalProtocolError):
+                client.writer.write(client.h11.send(h11.EndOfMessage()) or b"")
+        if upstream.h11.our_state is h11.DONE:
+            self.pool.put(upstream, now_ms())
+        else:
+            self.pool.drop(upstream)  # an early answer: the rest of the body is not written
+        self.act(ev.AnswerWhole(flight.ticket, number))
+        if passing:
+            flight.finish()
+        if flight.done.done():
+            self.flights.pop(flight.ticket, None)
--- /dev/null
+++ b/martenstep/door/engine.py
@@ -0,0 +1,442 @@
+"""The door without its sockets: events and the time in, actions out.
+
+It owes the module one Outcome for each Send, one Total for each Count, a Due for each Wake, a Left when a client
+goes, and the member lists in order; it gives the module nothing of a request after its final answer but the
+outcome of an attempt that was still out.  It decides nothing of its own beyond HTTP.  Two guards stand behind the
+module: a request whose deadline comes while nothing is out is answered all the same, and an Add that the store
+never answers ends as a time-out.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from martenstep import interface as api
+from martenstep.config import door_pb2 as pb
+from martenstep.config.settings import ERROR_STATUS, module_settings
+from martenstep.decide import Gateway
+from martenstep.door import events as ev
+from martenstep.door.http import STATUS, header, only_ours, own_answer, rate_limit
+from martenstep.door.routes import Routed, Routes, Unroutable
+from martenstep.door.verdicts import StatusTable, of_ending, of_stop
+from martenstep.interface import Verdict
+
+FULL_HOUSE_WAIT_MS = 1000.0  # retry-after where the door holds all it may: about the time a request takes
+COUNT_GRACE_MS = 1.0  # the store answers its time-outs itself; this long after them the engine does
+ID_BYTES = 200  # of a client's request id at most: longer ones are cut
+GATEWAY_ERROR, GATEWAY_TIMEOUT, UNAVAILABLE = 502, 504, 503
+
+
+class Attempt:
+    """One attempt, from its Send to its Outcome."""
+
+    __slots__ = ("begun", "headers", "number", "open", "sent_at", "server", "status", "written")
+
+    def __init__(self, number: int, server: int, sent_at: float) -> None:
+        self.number, self.server, self.sent_at = number, server, sent_at
+        self.open, self.written, self.begun = True, False, False
+        self.status = 0
+        self.headers: ev.Headers = []
+
+
+class Exchange:
+    """One client request, from its head to the end of its last attempt."""
+
+    __slots__ = ("arrived", "attempt", "deadline", "head", "label", "one_attempt", "rid", "routed", "servers",
+                 "settled", "ticket", "timed_out")
+
+    def __init__(self, arrived: ev.Arrived, routed: Routed, rid: str, label: str, now: float,
+                 deadline: float) -> None:
+        self.ticket, self.rid, self.label, self.routed = arrived.ticket, rid, label, routed
+        self.head = arrived
+        self.arrived, self.deadline = now, deadline
+        self.attempt: Attempt | None = None  # the last one
+        self.servers: list[int] = []  # of all attempts
+        self.settled = False  # it has its final answer, or its client is gone
+        self.one_attempt = False  # its body cannot be written again
+        self.timed_out = False
+
+
+class Engine:
+    """One door: the module's Gateway, its requests, its timers."""
+
+    def __init__(self, door: pb.Door, seed: int) -> None:
+        self.settings = module_settings(door)
+        self._gateway = Gateway(self.settings, seed)
+        self._routes = Routes(door)
+        upstream, listener = door.upstream, door.listener
+        self._status = StatusTable(upstream.refusal_status, upstream.refusal_header,
+                                   frozenset(upstream.error_status or ERROR_STATUS))
+        self._via = f"1.1 {door.name}".encode()
+        self._name = door.name
+        self._id_header = listener.request_id_header.lower().encode()
+        self._attempt_header = upstream.attempt_header.lower().encode()
+        self._key_header = upstream.key_header.lower().encode()
+        self._deadline_header = listener.deadline_header.lower().encode()
+        self._margin, self._max_open = listener.answer_margin_ms, listener.max_open
+        self._connect_ms, self._cancel = upstream.connect_ms, upstream.cancel
+        self._max_wait = door.max_retry_after_ms
+        self._exchanges: dict[int, Exchange] = {}  # by ticket, while anything of them is left
+        self._rids: dict[str, Exchange] = {}
+        self._open = 0  # requests without a final answer
+        self._addresses: dict[int, tuple[str, int]] = {}
+        self._serial = 0
+        self._seed = seed
+        self._timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._order = 0
+        self._calls: dict[int, tuple[int, float]] = {}  # Adds out: name, and since when
+        self._out: list[ev.Action] = []
+        self._todo: deque[api.Event] = deque()  # what the module is to be told next
+        self._now = 0.0
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            ev.Arrived: self._arrived, ev.ClientLeft: self._client_left, ev.BodyDropped: self._body_dropped,
+            ev.Written: self._written, ev.AnswerHead: self._answer_head, ev.AnswerBegun: self._answer_begun,
+            ev.AnswerWhole: self._answer_whole, ev.AttemptEnded: self._attempt_ended, ev.Counted: self._counted,
+            ev.Listed: self._listed, ev.Tick: self._tick,
+        }
+
+    # Outside --------------------------------------------------------------------------------------------
+
+    @property
+    def open(self) -> int:
+        """Requests that are owed a final answer."""
+        return self._open
+
+    @property
+    def held(self) -> dict[str, int]:
+        """What is kept, for metrics and for tests that all books balance."""
+        return {"exchanges": len(self._exchanges), "calls": len(self._calls), "timers": len(self._timers),
+                "servers": len(self._addresses), "open": self._open}
+
+    def next_at(self) -> float | None:
+        """When the next Tick is due."""
+        return self._timers[0][0] if self._timers else None
+
+    def handle(self, now: float, event: ev.Event) -> list[ev.Action]:
+        """Take in one event; gives what is to be done, in order."""
+        self._now = max(now, self._now)
+        if self._timers and self._timers[0][0] <= self._now and type(event) is not ev.Tick:
+            self._tick(event)  # what was due before this event goes first, however late the driver is
+        self._handlers[type(event)](event)
+        out, self._out = self._out, []
+        return out
+
+    def stop(self, now: float) -> list[ev.Action]:
+        """The daemon's time is over: every request that is still held gets its answer now."""
+        self._now = max(now, self._now)
+        for ticket in list(self._exchanges):
+            self._deadline(ticket)
+        out, self._out = self._out, []
+        return out
+
+    # The module -----------------------------------------------------------------------------------------
+
+    def _tell(self, event: api.Event) -> None:
+        """Tell the module, and carry out what it decides; what that causes to be told goes in order."""
+        self._todo.append(event)
+        if len(self._todo) > 1:
+            return
+        while self._todo:
+            for action in self._gateway.handle(self._now, self._todo[0]):
+                self._carry(action)
+            self._todo.popleft()
+
+    def _carry(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.Refuse(id=rid, retry_after_ms=wait, reason=reason):
+                self._answer(self._rids[rid], STATUS[reason], reason.value, min(wait, self._max_wait))
+            case api.Fail(id=rid):
+                exchange = self._rids[rid]
+                late = exchange.timed_out
+                self._answer(exchange, GATEWAY_TIMEOUT if late else GATEWAY_ERROR,
+                             "timed out" if late else "failed", None)
+            case api.Count(name=name, units=units, expire_ms=expire_ms):
+                self._serial += 1
+                self._calls[self._serial] = name, self._now
+                self._timer(self._now + self.settings.counter_timeout_ms + COUNT_GRACE_MS, self._uncounted,
+                            self._serial)
+                self._out.append(ev.Add(self._serial, name, units, expire_ms))
+            case api.Wake(at_ms=at, token=token):
+                self._timer(at, self._due, token)
+            case api.Cancel(id=rid, attempt=number):
+                exchange = self._rids[rid]
+                attempt = exchange.attempt
+                if attempt and attempt.number == number and attempt.open and not attempt.begun:
+                    self._stop(exchange, attempt, Verdict.CANCELLED)
+            case api.Subscribe():
+                self._out.append(ev.Listen())
+            case api.Log(text=text):
+                self._out.append(ev.Note("module", {"text": text}))
+
+    def _send(self, action: api.Send) -> None:
+        exchange = self._rids[action.id]
+        number = len(exchange.servers)
+        exchange.servers.append(action.server)
+        address = self._addresses.get(action.server)
+        attempt = exchange.attempt = Attempt(number, action.server, self._now)
+        if exchange.settled or address is None:
+            attempt.open = False
+            self._tell(api.Outcome(action.id, number, action.server, Verdict.MOOT, 0.0, exchange.settled))
+            return
+        head = exchange.head
+        headers = only_ours(head.headers, keep_length=True)
+        replaced = {self._id_header, self._attempt_header, self._deadline_header}
+        headers = [pair for pair in headers if pair[0] not in replaced]
+        headers.append((self._id_header, exchange.label.encode("latin-1", "replace")))
+        headers.append((self._attempt_header, b"%d" % number))
+        left = max(exchange.deadline - self._now, 0.0)
+        headers.append((self._deadline_header, f"{left:.0f}".encode()))
+        headers.append((b"via", self._via))
+        if head.peer:
+            headers.append((b"x-forwarded-for", head.peer.encode()))
+        if exchange.routed.cls.effect is api.Effect.KEYED and header(headers, self._key_header) is None:
+            headers.append((self._key_header, f"{self._name}-{exchange.rid}".encode()))
+        self._timer(min(self._now + self._connect_ms, exchange.deadline), self._unconnected, exchange.ticket, number)
+        self._out.append(ev.Open(exchange.ticket, number, action.server, address, head.method, head.target,
+                                 headers))
+
+    def _outcome(self, exchange: Exchange, attempt: Attempt, verdict: Verdict, ended: bool) -> None:
+        """End an attempt; the one place that does."""
+        attempt.open = False
+        rtt = self._now - attempt.sent_at
+        self._tell(api.Outcome(exchange.rid, attempt.number, attempt.server, verdict, rtt, ended))
+
+    def _stop(self, exchange: Exchange, attempt: Attempt, wanted: Verdict) -> None:
+        """The door itself stops an attempt."""
+        attempt.open = False  # nothing that still comes from it counts
+        self._out.append(ev.Abandon(exchange.ticket, attempt.number))
+        self._ended(exchange, attempt, of_stop(wanted, attempt.written))
+
+    def _ended(self, exchange: Exchange, attempt: Attempt, verdict: Verdict) -> None:
+        """An attempt ended without an answer that can be passed on."""
+        if exchange.settled:
+            self._outcome(exchange, attempt, verdict, True)
+            self._forget(exchange)
+        elif attempt.begun:
+            self._settle(exchange, 0, "broken answer", None)
+            self._out.append(ev.Break(exchange.ticket))
+            self._outcome(exchange, attempt, verdict, True)
+            self._forget(exchange)
+        elif exchange.one_attempt:
+            # Its body is partly gone: the module is not asked for a further attempt that cannot be made.
+            harmless = exchange.routed.cls.effect is api.Effect.SAFE or verdict.never_ran
+            late = exchange.timed_out
+            status = UNAVAILABLE if harmless else GATEWAY_TIMEOUT if late else GATEWAY_ERROR
+            wait = exchange.routed.cls.aim_ms * 0.1 if harmless else None
+            self._answer(exchange, status, "spent" if harmless else "timed out" if late else "failed", wait)
+            self._outcome(exchange, attempt, verdict, True)
+            self._forget(exchange)
+        else:
+            self._outcome(exchange, attempt, verdict, False)
+
+    # Answers --------------------------------------------------------------------------------------------
+
+    def _limits(self, routed: Routed) -> ev.Headers:
+        plan = routed.plan
+        if plan.rate <= 0:
+            return []
+        room = self._gateway.room(self._now, routed.customer)
+        full = 0.0 if room is None else max(plan.burst - room, 0.0) / plan.rate * 1000.0
+        return rate_limit(plan, room, full)
+
+    def _answer(self, exchange: Exchange, status: int, reason: str, wait: float | None) -> None:
+        """A final answer of the door's own."""
+        headers, body = own_answer(reason, exchange.label, wait)
+        headers += self._limits(exchange.routed)
+        headers.append((self._id_header, exchange.label.encode("latin-1", "replace")))
+        headers.append((b"via", self._via))
+        self._settle(exchange, status, reason, wait)
+        self._out.append(ev.Reply(exchange.ticket, status, headers, body))
+        self._forget(exchange)
+
+    def _settle(self, exchange: Exchange, status: int, reason: str, wait: float | None) -> None:
+        """Book the final answer: the one place where a request stops being owed one."""
+        exchange.settled = True
+        self._open -= 1
+        routed = exchange.routed
+        fields: dict[str, Any] = {
+            "request": exchange.label, "customer": routed.key, "plan": routed.plan.name, "class": routed.cls.name,
+            "status": status, "reason": reason, "attempts": len(exchange.servers), "servers": exchange.servers,
+            "ms": round(self._now - exchange.arrived, 3),
+        }
+        if wait is not None:
+            fields["retry_after_ms"] = round(wait, 3)
+        self._out.append(ev.Note("answer", fields))
+
+    def _forget(self, exchange: Exchange) -> None:
+        """Let go of a request that is settled and has nothing out."""
+        if exchange.settled and not (exchange.attempt and exchange.attempt.open):
+            self._exchanges.pop(exchange.ticket, None)
+            self._rids.pop(exchange.rid, None)
+
+    # Clients --------------------------------------------------------------------------------------------
+
+    def _arrived(self, event: ev.Arrived) -> None:
+        label = header(event.headers, self._id_header)
+        self._serial += 1
+        rid = f"{self._serial:x}"
+        named = label.decode("latin-1")[:ID_BYTES] if label else f"{self._name}-{self._seed:x}-{rid}"
+        routed = self._routes.route(event.method, event.target, event.headers)
+        if isinstance(routed, Unroutable):
+            self._turn_away(event, routed.status, routed.reason, named, None)
+            return
+        remaining = self._routes.deadline_ms(routed.cls, event.headers)
+        if remaining is None:
+            self._turn_away(event, 400, "bad deadline", named, None)
+            return
+        if self._open >= self._max_open:
+            self._turn_away(event, UNAVAILABLE, "full house", named, FULL_HOUSE_WAIT_MS)
+            return
+        remaining = max(remaining - self._margin, 0.0)
+        exchange = Exchange(event, routed, rid, named, self._now, self._now + remaining)
+        self._exchanges[event.ticket] = self._rids[rid] = exchange
+        self._open += 1
+        self._timer(exchange.deadline, self._deadline, event.ticket)
+        self._tell(api.Request(rid, routed.cls.name, routed.plan.name, routed.customer, remaining, routed.units,
+                               routed.spread, routed.first))
+
+    def _turn_away(self, event: ev.Arrived, status: int, reason: str, label: str, wait: float | None) -> None:
+        """Answer what never reaches the module."""
+        headers, body = own_answer(reason, label, wait)
+        headers.append((self._id_header, label.encode("latin-1", "replace")))
+        headers.append((b"via", self._via))
+        self._out.append(ev.Note("turned away", {"request": label, "status": status, "reason": reason}))
+        self._out.append(ev.Reply(event.ticket, status, headers, body))
+
+    def _client_left(self, event: ev.ClientLeft) -> None:
+        exchange = self._exchanges.get(event.ticket)
+        if exchange is None or exchange.settled:
+            return
+        self._settle(exchange, 0, "client left", None)
+        self._tell(api.Left(exchange.rid))
+        attempt = exchange.attempt
+        if attempt and attempt.open and (self._cancel or attempt.begun):
+            self._stop(exchange, attempt, Verdict.CANCELLED)
+        self._forget(exchange)
+
+    def _body_dropped(self, event: ev.BodyDropped) -> None:
+        exchange = self._exchanges.get(event.ticket)
+        if exchange is not None:
+            exchange.one_attempt = True
+
+    # Servers --------------------------------------------------------------------------------------------
+
+    def _live(self, ticket: int, number: int) -> tuple[Exchange, Attempt] | None:
+        """The attempt that an event speaks of, where it is still out."""
+        exchange = self._exchanges.get(ticket)
+        attempt = exchange.attempt if exchange else None
+        if exchange is None or attempt is None or attempt.number != number or not attempt.open:
+            return None
+        return exchange, attempt
+
+    def _written(self, event: ev.Written) -> None:
+        live = self._live(event.ticket, event.attempt)
+        if live:
+            live[1].written = True
+
+    def _answer_head(self, event: ev.AnswerHead) -> None:
+        live = self._live(event.ticket, event.attempt)
+        if live is None:
+            return
+        exchange, attempt = live
+        verdict = self._status.verdict(event.status, event.headers)
+        if verdict is not Verdict.OK:
+            attempt.open = False
+            self._out.append(ev.Abandon(event.ticket, event.attempt))
+            self._ended(exchange, attempt, verdict)
+            return
+        attempt.status, attempt.headers = event.status, event.headers
+
+    def _passed(self, exchange: Exchange, attempt: Attempt, whole: bool) -> None:
+        headers = only_ours(attempt.headers, keep_length=True)
+        headers = [pair for pair in headers if pair[0] != self._id_header]
+        headers += self._limits(exchange.routed)
+        headers.append((self._id_header, exchange.label.encode("latin-1", "replace")))
+        headers.append((b"via", self._via))
+        self._out.append(ev.Pass(exchange.ticket, attempt.number, attempt.status, headers, whole))
+
+    def _answer_begun(self, event: ev.AnswerBegun) -> None:
+        live = self._live(event.ticket, event.attempt)
+        if live is None or live[1].begun or live[0].settled:
+            return
+        live[1].begun = True
+        self._tell(api.Started(live[0].rid))
+        self._passed(live[0], live[1], False)
+
+    def _answer_whole(self, event: ev.AnswerWhole) -> None:
+        live = self._live(event.ticket, event.attempt)
+        if live is None:
+            return
+        exchange, attempt = live
+        if not exchange.settled:
+            if not attempt.begun:
+                self._passed(exchange, attempt, True)
+            self._settle(exchange, attempt.status, "served", None)
+        self._outcome(exchange, attempt, Verdict.OK, True)
+        self._forget(exchange)
+
+    def _attempt_ended(self, event: ev.AttemptEnded) -> None:
+        live = self._live(event.ticket, event.attempt)
+        if live is not None:
+            live[1].open = False
+            self._ended(live[0], live[1], of_ending(event.how))
+
+    # Store and feed -------------------------------------------------------------------------------------
+
+    def _counted(self, event: ev.Counted) -> None:
+        call = self._calls.pop(event.call, None)
+        if call is not None:  # else its time-out was told already
+            self._tell(api.Total(call[0], event.verdict, self._now - call[1], event.total))
+
+    def _listed(self, event: ev.Listed) -> None:
+        self._addresses.update(event.addresses)
+        if event.scope is api.Scope.FULL:
+            listed = {server.id for server in event.servers}
+            self._addresses = {key: at for key, at in self._addresses.items() if key in listed}
+        self._tell(api.Members(event.scope, event.servers))
+
+    # Timers ---------------------------------------------------------------------------------------------
+
+    def _timer(self, at: float, what: Callable[..., None], *words: Any) -> None:
+        self._order += 1
+        heapq.heappush(self._timers, (at, self._order, what, words))
+
+    def _tick(self, event: ev.Event) -> None:
+        while self._timers and self._timers[0][0] <= self._now:
+            what, words = heapq.heappop(self._timers)[2:]
+            what(*words)
+
+    def _due(self, token: int) -> None:
+        self._tell(api.Due(token))
+
+    def _uncounted(self, call: int) -> None:
+        self._counted(ev.Counted(call, Verdict.TIMEOUT))
+
+    def _unconnected(self, ticket: int, number: int) -> None:
+        live = self._live(ticket, number)
+        if live and not live[1].written:
+            self._stop(*live, Verdict.CONNECT_FAILED)
+
+    def _deadline(self, ticket: int) -> None:
+        """The request's time is over: what is out ends, and the answer goes out at once."""
+        exchange = self._exchanges.get(ticket)
+        if exchange is None:
+            return
+        attempt = exchange.attempt
+        if attempt and attempt.begun:
+            return  # a streamed answer that has begun belongs to the client
+        exchange.timed_out = True
+        if exchange.settled:
+            if attempt and attempt.open:  # its client has left, and calling it off is not allowed
+                self._stop(exchange, attempt, Verdict.TIMEOUT)
+            return
+        if attempt and attempt.open:
+            self._stop(exchange, attempt, Verdict.TIMEOUT)
+        if not exchange.settled:  # nothing was out: the module holds it, and can no longer be waited for
+            self._answer(exchange, GATEWAY_TIMEOUT, "timed out", None)
+            self._tell(api.Left(exchange.rid))
--- /dev/null
+++ b/martenstep/door/events.py
@@ -0,0 +1,194 @@
+"""What the door's engine takes in and gives out.
+
+A ticket is the driver's number of one client request; an attempt is numbered within its request as the module
+counts it.  Times are milliseconds on the driver's clock.  Header names are lower case.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from martenstep.interface import Verdict
+from martenstep.members.lists import Listed as Listed
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Ending(Enum):
+    """How an attempt ended without a whole answer; verdicts.py says what each proves."""
+
+    NOT_CONNECTED = "no connection was made"
+    NO_PLACE = "the bound of connections to the server is reached"
+    NOT_WRITTEN = "the connection ended before anything was written to it"
+    CLOSED = "the connection ended after something was written and before the answer was whole"
+    BAD_ANSWER = "what came back is not HTTP"
+    STALLED = "an answer that had begun stood still"
+
+
+# Events -----------------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Arrived:
+    """A client's request head is whole."""
+
+    ticket: int
+    method: bytes
+    target: bytes
+    headers: Headers
+    peer: str = ""
+    has_body: bool = False
+
+
+@dataclass(slots=True)
+class ClientLeft:
+    """The client's connection is gone, or its request broke off."""
+
+    ticket: int
+
+
+@dataclass(slots=True)
+class BodyDropped:
+    """The request's body has outgrown what is kept: it cannot be written again."""
+
+    ticket: int
+
+
+@dataclass(slots=True)
+class Written:
+    """The first bytes of an attempt are being written: from here it may run."""
+
+    ticket: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class AnswerHead:
+    """The head of an attempt's answer is whole."""
+
+    ticket: int
+    attempt: int
+    status: int
+    headers: Headers
+
+
+@dataclass(slots=True)
+class AnswerBegun:
+    """More of an answer has come than is held back: it must go to the client now."""
+
+    ticket: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class AnswerWhole:
+    """The last byte of an attempt's answer has come."""
+
+    ticket: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class AttemptEnded:
+    """An attempt ended without a whole answer."""
+
+    ticket: int
+    attempt: int
+    how: Ending
+
+
+@dataclass(slots=True)
+class Counted:
+    """The store's answer to one Add."""
+
+    call: int
+    verdict: Verdict
+    total: float = 0.0
+
+
+@dataclass(slots=True)
+class Tick:
+    """Time has passed: what is due is done."""
+
+
+Event = (Arrived | ClientLeft | BodyDropped | Written | AnswerHead | AnswerBegun | AnswerWhole | AttemptEnded
+         | Counted | Listed | Tick)
+
+# Actions ----------------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Open:
+    """Start an attempt: take or make a connection to the address and write the request."""
+
+    ticket: int
+    attempt: int
+    server: int
+    address: tuple[str, int]
+    method: bytes
+    target: bytes
+    headers: Headers
+
+
+@dataclass(slots=True)
+class Abandon:
+    """Stop an attempt and close its connection; nothing more may be written for it."""
+
+    ticket: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Pass:
+    """Give the attempt's answer, with this head, to the client; what is held first, the rest as it comes."""
+
+    ticket: int
+    attempt: int
+    status: int
+    headers: Headers
+    whole: bool
+
+
+@dataclass(slots=True)
+class Reply:
+    """Final answer of the door's own."""
+
+    ticket: int
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(slots=True)
+class Break:
+    """An answer that had begun broke off: the client's connection is closed to say so."""
+
+    ticket: int
+
+
+@dataclass(slots=True)
+class Add:
+    """Add units to a name of the store and learn the total."""
+
+    call: int
+    name: int
+    units: float
+    expire_ms: float
+
+
+@dataclass(slots=True)
+class Listen:
+    """Ask the feed for changes from now on."""
+
+
+@dataclass(slots=True)
+class Note:
+    """One line for the operators."""
+
+    event: str
+    fields: dict[str, Any]
+
+
+Action = Open | Abandon | Pass | Reply | Break | Add | Listen | Note
--- /dev/null
+++ b/martenstep/door/http.py
@@ -0,0 +1,107 @@
+"""The HTTP rules that the engine follows: which headers travel, and how a refusal is worded.
+
+Sources: RFC 9110 (7.6.1 connection-specific fields, 7.6.3 Via, 10.2.3 Retry-After) and the IETF draft
+"RateLimit header fields for HTTP" (RateLimit, RateLimit-Policy).
+"""
+
+from __future__ import annotations
+
+import math
+from urllib.parse import unquote
+
+import msgspec
+
+from martenstep.door.events import Headers
+from martenstep.interface import Plan, Reason
+
+HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization",
+                        b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade"))
+DROPPED = HOP_BY_HOP | {b"expect"}  # the door answers 100-continue itself
+STATUS = {
+    Reason.QUOTA: 429, Reason.UNHEARD: 429, Reason.CEILING: 429, Reason.OPEN_LIMIT: 429,
+    Reason.OVERLOAD: 503, Reason.NO_SERVER: 503, Reason.SPENT: 503, Reason.LATE: 503,
+}
+WORDS = {
+    "quota": "the plan's quota is used for now",
+    "unheard": "the plan's quota may be used: its count is not known at the moment",
+    "ceiling": "the plan's ceiling leaves no room",
+    "open limit": "the plan's limit of requests at once is reached",
+    "overload": "the servers have no room in time",
+    "no server": "no server can take the request",
+    "spent": "no further attempt is allowed",
+    "late": "too little time is left",
+    "full house": "the door holds as many requests as it may",
+    "failed": "no server gave an answer that can be passed on",
+    "timed out": "no answer came in time",
+    "no route": "no route fits the request",
+    "no customer": "the request does not say whose it is",
+    "unknown customer": "the customer is not known here",
+    "bad target": "the request's target cannot be read",
+    "bad deadline": "the deadline header is not a number above 0",
+    "method": "this method is not served",
+}
+SECOND_MS = 1000.0
+
+
+def only_ours(headers: Headers, keep_length: bool) -> Headers:
+    """The end-to-end headers of a message: without those of its connection, and those that it names so."""
+    named: set[bytes] | None = None
+    for name, value in headers:
+        if name == b"connection":
+            named = named or set()
+            named.update(part.strip().lower() for part in value.split(b","))
+    drop = DROPPED | named if named else DROPPED
+    if keep_length:
+        return [pair for pair in headers if pair[0] not in drop]
+    return [pair for pair in headers if pair[0] not in drop and pair[0] != b"content-length"]
+
+
+def header(headers: Headers, name: bytes) -> bytes | None:
+    """The first value of a header."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def path_of(target: bytes) -> str | None:
+    """The path of a request's target; None where it is not one the door routes.
+
+    Dot segments are turned down, plain or encoded: a server may fold them, and the request would then be another
+    than the one that was routed.
+    """
+    if target[:1] != b"/":
+        scheme, found, rest = target.partition(b"://")
+        if not found or scheme.lower() not in (b"http", b"https"):
+            return None
+        target = b"/" + rest.partition(b"/")[2]
+    path = target.partition(b"?")[0].partition(b"#")[0].decode("latin-1")
+    if "." in path or "%" in path:
+        plain = unquote(path, "latin-1")
+        if any(part in (".", "..") for part in plain.split("/")) or "\0" in plain:
+            return None
+    return path
+
+
+def rate_limit(plan: Plan, room: float | None, now_full_ms: float) -> Headers:
+    """RateLimit-Policy and RateLimit, where the plan has a quota and its use is known."""
+    if plan.rate <= 0 or room is None:
+        return []
+    window = max(math.ceil(plan.burst / plan.rate), 1)
+    return [
+        (b"ratelimit-policy", f'"{plan.name}";q={math.floor(plan.burst)};w={window}'.encode()),
+        (b"ratelimit", f'"{plan.name}";r={math.floor(room)};t={math.ceil(now_full_ms / SECOND_MS)}'.encode()),
+    ]
+
+
+def own_answer(reason: str, rid: str, wait_ms: float | None) -> tuple[Headers, bytes]:
+    """Headers and body of an answer of the door's own; the wait both in whole seconds and exactly."""
+    told: dict[str, object] = {"reason": reason, "text": WORDS.get(reason, reason), "request": rid}
+    headers: Headers = [(b"content-type", b"application/json"), (b"x-reason", reason.replace(" ", "-").encode())]
+    if wait_ms is not None:
+        told["retry_after_ms"] = round(wait_ms, 3)
+        headers.append((b"retry-after", str(math.ceil(wait_ms / SECOND_MS)).encode()))
+        headers.append((b"retry-after-ms", f"{wait_ms:.3f}".encode()))
+    body = msgspec.json.encode(told) + b"\n"
+    headers.append((b"content-length", str(len(body)).encode()))
+    return headers, body
--- /dev/null
+++ b/martenstep/door/wires.py
@@ -0,0 +1,183 @@
+"""Connections of the driver: watched streams, and the pool to each server.
+
+Streams of the standard library, but the reader tells at once of the end of its connection and of bytes that nobody
+asked for, so that no task has to sit on an idle connection and none is reused after its end has come.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import h11
+
+Lost = Callable[[], None]
+Accepted = Callable[["WatchedReader", asyncio.StreamWriter, "WatchedProtocol"], None]
+
+
+class WatchedReader(asyncio.StreamReader):
+    """A stream reader that remembers whether anything came since it was last asked."""
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit=limit)
+        self.touched = False  # bytes or an end have come
+
+    def feed_data(self, data: Any) -> None:
+        """Bytes from the transport."""
+        self.touched = True
+        super().feed_data(data)
+
+    def feed_eof(self) -> None:
+        """The other side has closed its half."""
+        self.touched = True
+        super().feed_eof()
+
+    def set_exception(self, exc: Exception) -> None:
+        """The connection is lost."""
+        self.touched = True
+        super().set_exception(exc)
+
+
+class WatchedProtocol(asyncio.StreamReaderProtocol):
+    """Tells when the connection is lost, and whether the other side closed only its half."""
+
+    def __init__(self, reader: WatchedReader) -> None:
+        super().__init__(reader)
+        self.on_lost: Lost | None = None
+        self.on_half_close: Lost | None = None
+
+    def eof_received(self) -> bool:
+        """The other side's half is closed; ours stays open."""
+        super().eof_received()
+        if self.on_half_close is not None:
+            self.on_half_close()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Both halves are closed."""
+        super().connection_lost(exc)
+        if self.on_lost is not None:
+            self.on_lost()
+
+
+class AcceptingProtocol(WatchedProtocol):
+    """Of a connection that a client made: hands its streams on."""
+
+    def __init__(self, reader: WatchedReader, accepted: Accepted) -> None:
+        super().__init__(reader)
+        self._watched, self._accepted = reader, accepted
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is there."""
+        super().connection_made(transport)
+        assert isinstance(transport, asyncio.Transport)
+        writer = asyncio.StreamWriter(transport, self, self._watched, asyncio.get_running_loop())
+        self._accepted(self._watched, writer, self)
+
+
+class Upstream:
+    """One connection to a server."""
+
+    __slots__ = ("address", "h11", "idle_since", "reader", "writer")
+
+    def __init__(self, address: tuple[str, int], reader: WatchedReader, writer: asyncio.StreamWriter) -> None:
+        self.address, self.reader, self.writer = address, reader, writer
+        self.h11 = h11.Connection(h11.CLIENT)
+        self.idle_since = 0.0
+
+    @property
+    def sound(self) -> bool:
+        """Whether an idle connection may be written to: its end has not come, and nothing unasked."""
+        return not self.reader.touched and not self.writer.transport.is_closing()
+
+    def abort(self) -> None:
+        """Close at once; what is still buffered is not written any more."""
+        self.writer.transport.abort()
+
+
+class Pool:
+    """The connections to all servers: idle ones by address, and how many there are in all."""
+
+    def __init__(self, bound: int, idle_ms: float, read_bytes: int) -> None:
+        self._bound, self._idle_ms, self._read_bytes = bound, idle_ms, read_bytes
+        self._idle: dict[tuple[str, int], list[Upstream]] = {}
+        self._count: dict[tuple[str, int], int] = {}
+        self.opened = 0
+
+    @property
+    def connections(self) -> int:
+        """Connections in use, idle or being made."""
+        return sum(self._count.values())
+
+    def take(self, address: tuple[str, int]) -> Upstream | None:
+        """An idle connection, the last used first; ended ones are dropped on the way."""
+        idle = self._idle.get(address)
+        while idle:
+            found = idle.pop()
+            if found.sound:
+                return found
+            self.drop(found)
+        return None
+
+    def reserve(self, address: tuple[str, int]) -> bool:
+        """A place for a new connection; False where the bound is reached."""
+        count = self._count.get(address, 0)
+        if count >= self._bound:
+            return False
+        self._count[address] = count + 1
+        return True
+
+    def release(self, address: tuple[str, int]) -> None:
+        """Give a place back."""
+        left = self._count.get(address, 1) - 1
+        if left > 0:
+            self._count[address] = left
+        else:
+            self._count.pop(address, None)
+            self._idle.pop(address, None)
+
+    async def dial(self, address: tuple[str, int]) -> Upstream:
+        """Make a connection in a place that is reserved; raises OSError."""
+        loop = asyncio.get_running_loop()
+        reader = WatchedReader(self._read_bytes)
+        transport, protocol = await loop.create_connection(lambda: WatchedProtocol(reader), *address)
+        self.opened += 1
+        return Upstream(address, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+
+    def put(self, upstream: Upstream, now: float) -> None:
+        """Keep a connection whose answer is whole for the next attempt."""
+        try:
+            upstream.h11.start_next_cycle()
+        except h11.LocalProtocolError:  # it is to be closed, as its answer said
+            self.drop(upstream)
+            return
+        upstream.reader.touched = False
+        upstream.idle_since = now
+        self._idle.setdefault(upstream.address, []).append(upstream)
+
+    def drop(self, upstream: Upstream) -> None:
+        """Close a connection and give its place back."""
+        upstream.abort()
+        self.release(upstream.address)
+
+    def sweep(self, now: float) -> None:
+        """Close what has been idle for too long, or has ended."""
+        for address in list(self._idle):
+            keep = []
+            for upstream in self._idle[address]:
+                if upstream.sound and now - upstream.idle_since < self._idle_ms:
+                    keep.append(upstream)
+                else:
+                    self.drop(upstream)
+            if keep and address in self._idle:
+                self._idle[address] = keep
+            else:
+                self._idle.pop(address, None)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for idle in list(self._idle.values()):
+            for upstream in list(idle):
+                self.drop(upstream)
+        self._idle.clear()
--- /dev/null
+++ b/martenstep/members/lists.py
@@ -0,0 +1,16 @@
+"""What the feed's client tells its host."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from martenstep.interface import Scope, Server
+
+
+@dataclass(slots=True)
+class Listed:
+    """The feed told of servers; addresses are (host, port) by server id."""
+
+    scope: Scope
+    servers: tuple[Server, ...] = ()
+    addresses: dict[int, tuple[str, int]] = field(default_factory=dict)
