Tests of the door: hard cases in virtual time, any order of events, and on sockets

Need: the hard cases of the front door must be brought about, not hoped for. Change: a rig that plays the engine in virtual time, a state machine that gives it events in any order (one final answer, no two attempts out, nothing after the end, books balance), and scripted byte-level servers and clients. What they found and was mended: a head that comes whole was not bounded (431); an unsafe attempt was called off for silence though no other may follow, so it failed at a third of its aim (decide.py, one condition); stand-ins closed where they meant to reset.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -796,7 +796,7 @@
         if job is None or not job.server or len(job.attempts) != attempt + 1:
             return []
         silent = self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience)
-        # Only where another attempt can follow: else the work done is wasted for nothing.
-        if silent and self._retries >= 1 and len(job.attempts) < self._settings.max_attempts:
-            return [Cancel(rid, attempt)]
-        return []
+        # Only where another attempt can follow: else the work done is wasted for nothing, and an unsafe
+        # request, which may have run, fails long before its deadline.
+        more = job.cls.effect is not Effect.UNSAFE and len(job.attempts) < self._settings.max_attempts
+        return [Cancel(rid, attempt)] if silent and self._retries >= 1 and more else []
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -31,6 +31,7 @@
 SWEEP_MS = 250.0  # how often idle and stalled connections are looked for
 LINGER_BYTES = 262144  # of an unread body that are read and thrown away, so that a reset does not eat the answer
 LINGER_MS = 1000.0
+HEADER_EXTRA = 4  # colon, space and line end of one header
 STATUS_OF_HINT = {400: "bad request", 431: "head too large", 501: "transfer coding not known"}
 
 
@@ -201,6 +202,12 @@
         """One request, to its final answer."""
         driver = self._driver
         names = [name for name, _ in request.headers]
+        # The parser bounds only heads that come in parts; one that comes whole is measured here.
+        size = len(request.target) + sum(len(name) + len(value) + HEADER_EXTRA for name, value in request.headers)
+        if size > self._driver.listener.head_bytes:
+            self.plain(431, STATUS_OF_HINT[431])
+            await self._linger()
+            return
         if b"transfer-encoding" in names and b"content-length" in names:
             # RFC 9112 6.3: two lengths are how requests are smuggled past one of two readers.
             self.plain(400, "both content-length and transfer-encoding")
--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -22,6 +22,7 @@
 STORE_TROUBLES = (pb.STORE_PAUSED, pb.STORE_EMPTIED, pb.STORE_SLOW, pb.STORE_DOWN)
 FEED_TROUBLES = (pb.FEED_STALE, pb.FEED_PARTIAL, pb.FEED_DOWN)
 FIRST_DOOR_SHARE = 0.6  # of a customer's tries take the first of its doors: traffic is uneven
+LEAVES_BY = 0.1  # parts of the aim: a client that leaves does so while its request is on its way
 KINDS = ("standard", "slow")
 LONGEST_MS = 30 * 60_000.0
 
@@ -260,7 +261,7 @@
                 rng.shuffle(doors)
             clients = day.clients
             patience = cls.deadline_ms * rng.uniform(clients.least_patience, clients.most_patience)
-            leave = rng.uniform(1.0, cls.aim_ms) if rng.random() < clients.leave_share else 0.0
+            leave = rng.uniform(1.0, LEAVES_BY * cls.aim_ms) if rng.random() < clients.leave_share else 0.0
             yield Planned(at_ms=round(at, 3), rid=f"r{number}", customer=customer.key, cls=cls.name,
                           units=work.units, doors=doors, patience_ms=round(patience, 3), body=work.body_bytes,
                           leave_ms=round(leave, 3), abuse=bool(clients.abuse_plan) and group.plan == clients.abuse_plan)
--- a/martenstep/standins/base.py
+++ b/martenstep/standins/base.py
@@ -6,6 +6,8 @@
 import json
 import os
 import signal
+import socket
+import struct
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -70,6 +72,14 @@
             writer.close()
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Break a connection with a reset on the wire; a plain close would look like half a close."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and not writer.transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def steer(port: int, do: str, **words: Any) -> dict[str, Any]:
     """Give one command to a control port; raises RuntimeError on a command that it does not take."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=LINE_BYTES)
--- a/martenstep/standins/clients.py
+++ b/martenstep/standins/clients.py
@@ -15,7 +15,7 @@
 import h11
 import msgspec
 
-from martenstep.standins.base import ControlPort, Trace, now_ms, until_stopped
+from martenstep.standins.base import ControlPort, Trace, now_ms, reset, until_stopped
 
 READ_BYTES = 65536
 ABUSE_PAUSE_MS = 5.0  # a client that repeats without end still takes this long
@@ -112,7 +112,7 @@
                 status, headers, whole = await self._exchange(wire, planned, rid, patience, seen)
         except TimeoutError:
             if wire is not None:
-                wire.writer.transport.abort()
+                reset(wire.writer)
             self._trace.write("left" if leave else "no answer", rid=rid)
             return safe and not leave, 0.0
         except (OSError, h11.ProtocolError) as error:
--- a/martenstep/standins/photo.py
+++ b/martenstep/standins/photo.py
@@ -16,7 +16,7 @@
 import h11
 import msgspec
 
-from martenstep.standins.base import ControlPort, Trace, now_ms, until_stopped
+from martenstep.standins.base import ControlPort, Trace, now_ms, reset, until_stopped
 
 READ_BYTES = 65536
 KEYS_MOST = 100_000  # remembered for repeats
@@ -294,7 +294,7 @@
 
     def _write(self, connection: h11.Connection, writer: asyncio.StreamWriter, how: str, size: int) -> bool:
         if how == "reset":
-            writer.transport.abort()
+            reset(writer)
             return False
         status, body = 200, b"p" * size
         headers = [("content-type", "image/jpeg")]
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,336 @@
+"""The engine in virtual time: the hard cases of the door, one by one."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from martenstep.door import events as ev
+from martenstep.door.events import Ending
+from martenstep.interface import Scope, State, Verdict
+from tests.door_rig import QUIET, Rig, head, listed
+
+
+def test_a_request_is_sent_on_and_served_as_it_came() -> None:
+    rig = Rig()
+    ticket = rig.ask(x_request_id="mine", connection="close, x-hop", x_hop="1", te="trailers", accept="image/*")
+    sent = rig.opened(ticket)
+    assert (sent.attempt, sent.method, sent.target) == (0, b"GET", b"/read/1")
+    names = {name for name, _ in sent.headers}
+    assert not names & {b"connection", b"x-hop", b"te"}
+    assert head(sent, "x-request-id") == "mine" and head(sent, "x-attempt") == "0"
+    assert head(sent, "via") == "1.1 door-0" and head(sent, "accept") == "image/*"
+    assert head(sent, "x-forwarded-for") == "10.0.0.1"
+    rig.serve(ticket, 201, [(b"etag", b"1"), (b"connection", b"keep-alive"), (b"keep-alive", b"timeout=5")])
+    [passed] = rig.of(ev.Pass, ticket)
+    assert (passed.status, passed.whole) == (201, True)
+    assert head(passed, "etag") == "1" and head(passed, "keep-alive") is None
+    assert head(passed, "x-request-id") == "mine"
+    assert rig.quiet() == QUIET
+
+
+def test_a_request_id_is_made_where_none_came_and_cut_where_too_long() -> None:
+    rig = Rig()
+    one, two = rig.opened(rig.ask()), rig.opened(rig.ask())
+    assert head(one, "x-request-id") and head(one, "x-request-id") != head(two, "x-request-id")
+    long = rig.opened(rig.ask(x_request_id="r" * 5000))
+    assert head(long, "x-request-id") == "r" * 200
+
+
+@pytest.mark.parametrize(("path", "customer", "method", "status", "reason"), [
+    ("/nope", "free", "GET", 404, "no route"),
+    ("/write/free/1", "free", "GET", 404, "no route"),  # the method does not fit
+    ("/read/1", "nobody", "GET", 403, "unknown customer"),
+    ("/read/1", "", "GET", 403, "no customer"),
+    ("/read/../pay/1", "free", "GET", 400, "bad target"),
+    ("/read/%2e%2E/pay/1", "free", "GET", 400, "bad target"),
+    ("/read/1%00", "free", "GET", 400, "bad target"),
+    ("example.org:443", "free", "CONNECT", 400, "bad target"),
+])
+def test_what_cannot_be_routed_is_turned_away_at_once(
+    path: str, customer: str, method: str, status: int, reason: str
+) -> None:
+    rig = Rig()
+    ticket = rig.ask(path, customer, method)
+    reply = rig.reply(ticket)
+    assert reply.status == status and json.loads(reply.body)["reason"] == reason
+    assert not rig.of(ev.Open) and rig.quiet() == QUIET
+
+
+def test_the_customer_can_stand_in_the_path() -> None:
+    rig = Rig()
+    ticket = rig.ask("/write/fr%65e/1?x=../..", "anna", "POST")
+    assert rig.opened(ticket).target == b"/write/fr%65e/1?x=../.."
+
+
+def test_an_absolute_target_is_routed_by_its_path() -> None:
+    rig = Rig()
+    assert rig.opened(rig.ask("http://photos.example/read/1"))
+
+
+@pytest.mark.parametrize("value", ["soon", "-5", "0", "nan", "inf"])
+def test_a_deadline_header_must_be_a_figure(value: str) -> None:
+    rig = Rig()
+    assert rig.reply(rig.ask(x_deadline_ms=value)).status == 400
+
+
+def test_the_deadline_is_the_least_of_the_classes_and_the_clients() -> None:
+    rig = Rig()
+    for asked, left in (("1500", "1500"), ("9000", "4000")):
+        assert head(rig.opened(rig.ask(x_deadline_ms=asked)), "x-deadline-ms") == left
+
+
+def test_at_the_deadline_the_attempt_is_given_up_and_the_answer_goes_out_at_once() -> None:
+    rig = Rig("upstream { cancel: false }")
+    ticket = rig.ask(x_deadline_ms="700")
+    rig.write(ticket)
+    rig.pass_time(699)
+    assert not rig.finals(ticket)
+    actions = rig.pass_time(1)
+    assert isinstance(actions[0], ev.Abandon)  # before the answer: nothing may follow it
+    assert rig.reply(ticket).status == 503  # safe to repeat: a refusal says so
+    assert rig.quiet() == QUIET
+
+
+def test_a_time_out_of_an_unsafe_request_is_a_failure_and_promises_nothing() -> None:
+    rig = Rig()
+    ticket = rig.ask("/pay/1")
+    rig.write(ticket)
+    rig.pass_time(4000)
+    reply = rig.reply(ticket)
+    assert reply.status == 504 and head(reply, "retry-after") is None
+    assert len(rig.of(ev.Open, ticket)) == 1
+
+
+def test_the_deadline_between_connect_and_write_proves_that_it_never_ran() -> None:
+    rig = Rig("upstream { connect_ms: 60000 }")
+    ticket = rig.ask("/pay/1", x_deadline_ms="300")
+    rig.pass_time(300)  # connected or not: nothing was written
+    assert rig.of(ev.Abandon, ticket)
+    assert rig.reply(ticket).status == 503  # may be repeated: it never ran
+    assert rig.tell(ev.Written(ticket, 0)) == []  # the driver is late: the attempt is no more
+
+
+def test_no_connection_within_the_time_out_goes_elsewhere() -> None:
+    rig = Rig()
+    ticket = rig.ask("/pay/1")
+    rig.pass_time(200)
+    first, second = rig.of(ev.Open, ticket)
+    assert second.attempt == 1 and head(second, "x-attempt") == "1"
+    assert rig.of(ev.Abandon, ticket)[0].attempt == 0
+    rig.serve(ticket)
+    assert len(rig.finals(ticket)) == 1 and first.server != second.server
+
+
+def test_an_answer_after_its_attempt_was_called_off_is_nobodys() -> None:
+    rig = Rig()
+    ticket = rig.ask()
+    rig.end(ticket, Ending.CLOSED)
+    assert [open_.attempt for open_ in rig.of(ev.Open, ticket)] == [0, 1]
+    assert rig.tell(ev.AnswerHead(ticket, 0, 200, [])) == []
+    assert rig.tell(ev.AnswerWhole(ticket, 0)) == []
+    rig.serve(ticket)
+    assert len(rig.finals(ticket)) == 1 and rig.quiet() == QUIET
+    assert rig.tell(ev.AnswerWhole(ticket, 1)) == []
+
+
+def test_a_silent_server_is_given_up_by_the_module_and_another_tried() -> None:
+    rig = Rig()
+    for _ in range(12):  # answers are quick, so that silence tells
+        ticket = rig.ask()
+        rig.pass_time(10)
+        rig.serve(ticket)
+    ticket = rig.ask()
+    rig.write(ticket)
+    rig.pass_time(450)
+    assert [abandon.attempt for abandon in rig.of(ev.Abandon, ticket)] == [0]
+    assert [open_.attempt for open_ in rig.of(ev.Open, ticket)] == [0, 1]
+
+
+@pytest.mark.parametrize(("path", "how", "written", "attempts"), [
+    ("/pay/1", Ending.NOT_CONNECTED, False, 2),  # nothing was written: even an unsafe one may go again
+    ("/pay/1", Ending.NO_PLACE, False, 2),
+    ("/pay/1", Ending.NOT_WRITTEN, False, 2),
+    ("/pay/1", Ending.CLOSED, True, 1),  # it may have run
+    ("/pay/1", Ending.BAD_ANSWER, True, 1),
+    ("/read/1", Ending.CLOSED, True, 2),
+    ("/read/1", Ending.BAD_ANSWER, True, 2),
+])
+def test_what_an_ending_proves_decides_on_a_further_attempt(
+    path: str, how: Ending, written: bool, attempts: int
+) -> None:
+    rig = Rig()
+    ticket = rig.ask(path)
+    rig.end(ticket, how, written)
+    assert len(rig.of(ev.Open, ticket)) == attempts
+    if attempts == 1:
+        assert rig.reply(ticket).status == 502
+
+
+def test_a_refusal_needs_status_and_header() -> None:
+    rig = Rig()
+    refused = rig.ask("/pay/1")
+    rig.write(refused)
+    rig.tell(ev.AnswerHead(refused, 0, 503, [(b"x-not-run", b"1")]))
+    assert len(rig.of(ev.Open, refused)) == 2
+    unknown = rig.ask("/pay/1")
+    rig.write(unknown)
+    rig.tell(ev.AnswerHead(unknown, 0, 503, []))  # from something between: it proves nothing
+    assert len(rig.of(ev.Open, unknown)) == 1 and rig.reply(unknown).status == 502
+
+
+def test_a_keyed_request_carries_one_key_through_its_attempts() -> None:
+    rig = Rig()
+    ticket = rig.ask("/write/free/1", method="POST")
+    rig.end(ticket, Ending.CLOSED)
+    first, second = rig.of(ev.Open, ticket)
+    assert head(first, "idempotency-key") and head(first, "idempotency-key") == head(second, "idempotency-key")
+    assert first.server % 2 == second.server % 2  # the zone that drops repeats
+    own = rig.ask("/write/free/1", method="POST", idempotency_key="k1")
+    assert head(rig.opened(own), "idempotency-key") == "k1"
+
+
+def test_a_body_that_is_partly_gone_allows_one_attempt() -> None:
+    rig = Rig()
+    safe = rig.ask(has_body=True)
+    rig.tell(ev.BodyDropped(safe))
+    rig.end(safe, Ending.CLOSED)
+    assert len(rig.of(ev.Open, safe)) == 1 and rig.reply(safe).status == 503
+    unsafe = rig.ask("/pay/1", has_body=True)
+    rig.tell(ev.BodyDropped(unsafe))
+    rig.end(unsafe, Ending.CLOSED)
+    assert rig.reply(unsafe).status == 502
+    assert rig.quiet() == QUIET
+
+
+def test_an_answer_that_has_begun_belongs_to_the_client() -> None:
+    rig = Rig()
+    ticket = rig.ask(x_deadline_ms="500")
+    rig.write(ticket)
+    rig.tell(ev.AnswerHead(ticket, 0, 200, []))
+    rig.tell(ev.AnswerBegun(ticket, 0))
+    [passed] = rig.of(ev.Pass, ticket)
+    assert not passed.whole
+    assert not rig.pass_time(10_000)  # neither its time-out nor the deadline runs any more
+    rig.tell(ev.AnswerWhole(ticket, 0))
+    assert len(rig.finals(ticket)) == 1 and rig.quiet() == QUIET
+
+
+def test_a_begun_answer_that_breaks_breaks_the_clients_connection() -> None:
+    rig = Rig()
+    ticket = rig.ask()
+    rig.write(ticket)
+    rig.tell(ev.AnswerHead(ticket, 0, 200, []))
+    rig.tell(ev.AnswerBegun(ticket, 0))
+    rig.end(ticket, Ending.CLOSED)
+    assert rig.of(ev.Break, ticket) and len(rig.of(ev.Open, ticket)) == 1
+    assert rig.quiet() == QUIET
+
+
+def test_the_client_leaves_while_its_counter_call_is_out() -> None:
+    rig = Rig()
+    ticket = rig.ask(customer="anna")
+    assert rig.of(ev.Add) and not rig.of(ev.Open)
+    rig.tell(ev.ClientLeft(ticket))
+    rig.count_all(1.0)
+    assert not rig.of(ev.Open) and not rig.finals(ticket)
+    assert rig.quiet() == QUIET
+
+
+def test_the_client_leaves_while_an_attempt_is_out() -> None:
+    rig = Rig()
+    ticket = rig.ask()
+    rig.write(ticket)
+    rig.tell(ev.ClientLeft(ticket))
+    assert rig.of(ev.Abandon, ticket) and rig.quiet() == QUIET
+    assert not rig.finals(ticket)
+    kept = Rig("upstream { cancel: false }")
+    ticket = kept.ask(x_deadline_ms="900")
+    kept.write(ticket)
+    kept.tell(ev.ClientLeft(ticket))
+    assert not kept.of(ev.Abandon)  # calling off is not allowed: its outcome is waited for, to the deadline
+    kept.pass_time(900)
+    assert kept.of(ev.Abandon) and kept.quiet() == QUIET
+
+
+def test_a_late_reply_of_the_store_is_not_taken_for_the_next_calls() -> None:
+    rig = Rig()
+    first = rig.ask(customer="anna")
+    [add] = rig.of(ev.Add)
+    rig.pass_time(60)  # its time-out is told by the engine, whatever the store does
+    assert rig.finals(first) or len(rig.of(ev.Open, first)) == 1
+    rig.ask(customer="anna")
+    later = rig.of(ev.Add)
+    assert len(later) == 2 and later[1].call != add.call
+    before = len(rig.did)
+    rig.tell(ev.Counted(add.call, Verdict.OK, 1e6))  # late: it would look like a flood
+    assert len(rig.did) == before
+
+
+def test_a_refusal_tells_the_wait_in_seconds_and_exactly() -> None:
+    rig = Rig()
+    ticket = rig.ask(customer="anna")
+    rig.count_all(500.0)
+    reply = rig.reply(ticket)
+    told = json.loads(reply.body)
+    assert reply.status == 429 and told["reason"] == "quota"
+    exact = float(head(reply, "retry-after-ms") or "")
+    assert exact == told["retry_after_ms"] > 0
+    assert int(head(reply, "retry-after") or "") == -(-exact // 1000)
+    assert head(reply, "ratelimit-policy") == '"plain";q=20;w=2'
+    assert (head(reply, "ratelimit") or "").startswith('"plain";r=0;t=')
+
+
+def test_no_server_is_a_503_with_a_wait() -> None:
+    rig = Rig(servers=())
+    reply = rig.reply(rig.ask())
+    assert reply.status == 503 and json.loads(reply.body)["reason"] == "no server"
+    assert head(reply, "retry-after")
+
+
+def test_a_full_house_turns_away_before_the_module_is_asked() -> None:
+    rig = Rig("listener { max_open: 2 }")
+    first, _, third = rig.ask(), rig.ask(), rig.ask()
+    assert rig.reply(third).status == 503 and head(rig.reply(third), "retry-after") == "1"
+    rig.serve(first)
+    assert rig.opened(rig.ask())
+
+
+def test_servers_that_leave_the_list_get_nothing_more() -> None:
+    rig = Rig()
+    rig.tell(listed(1, 2))
+    for _ in range(20):
+        rig.serve(rig.ask())
+    assert {open_.server for open_ in rig.of(ev.Open)} == {1, 2}
+    rig.tell(listed(1, scope=Scope.CHANGES, state=State.DRAINING))
+    before = len(rig.of(ev.Open))
+    for _ in range(20):
+        rig.serve(rig.ask())
+    assert {open_.server for open_ in rig.of(ev.Open)[before:]} == {2}
+
+
+def test_a_stop_answers_all_that_is_held() -> None:
+    rig = Rig()
+    out, held = rig.ask(), rig.ask(customer="anna")
+    rig.write(out)
+    rig.did += rig.engine.stop(rig.now)
+    assert len(rig.finals(out)) == 1 and len(rig.finals(held)) == 1
+    assert rig.engine.open == 0
+
+
+def test_a_held_request_is_answered_at_its_deadline_even_if_the_module_holds_it() -> None:
+    rig = Rig()
+    ticket = rig.ask(customer="anna")  # the counter is asked; nothing answers, and the engine's own timer is lost
+    rig.engine._timers = [timer for timer in rig.engine._timers if timer[2].__name__ == "_deadline"]
+    rig.pass_time(4000)
+    assert rig.reply(ticket).status == 504 and rig.engine.open == 0
+
+
+def test_timers_keep_no_finished_request_alive() -> None:
+    rig = Rig()
+    for _ in range(50):
+        rig.serve(rig.ask())
+    assert rig.quiet() == QUIET
+    rig.pass_time(5000)
+    assert rig.engine.held["timers"] == 0
--- /dev/null
+++ b/tests/test_engine_orders.py
@@ -0,0 +1,138 @@
+"""Any order of events: one final answer, no two attempts out, nothing after the end, books that balance."""
+
+from __future__ import annotations
+
+from hypothesis import settings as hypo
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from martenstep.door import events as ev
+from martenstep.door.events import Ending
+from martenstep.interface import Scope, State, Verdict
+from tests.door_rig import QUIET, Rig, listed
+
+PATHS = ("/read/1", "/write/free/1", "/pay/1")
+
+
+class Door(RuleBasedStateMachine):
+    """A door among clients, servers, store and feed that do as they like."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rig = Rig()
+        self.seen = 0
+        self.tickets: list[int] = []
+        self.out: dict[int, int] = {}  # attempts that the driver holds, by ticket
+        self.calls: list[int] = []
+        self.over: set[int] = set()
+        self.begun: set[int] = set()
+        self.left: set[int] = set()
+
+    def _look(self) -> None:
+        """Carry out what the engine did, and check each step of it."""
+        for action in self.rig.did[self.seen:]:
+            match action:
+                case ev.Open(ticket=ticket, attempt=number):
+                    assert ticket not in self.over, "an attempt after the final answer"
+                    assert ticket not in self.out, "two attempts out at once"
+                    self.out[ticket] = number
+                case ev.Abandon(ticket=ticket, attempt=number):
+                    assert self.out.get(ticket) == number
+                    del self.out[ticket]
+                case ev.Reply(ticket=ticket):
+                    assert ticket not in self.over and ticket not in self.left, "a second final answer"
+                    assert ticket not in self.out, "answered while an attempt is out"
+                    self.over.add(ticket)
+                case ev.Pass(ticket=ticket):
+                    assert ticket not in self.over and ticket not in self.left, "a second final answer"
+                    self.over.add(ticket)
+                case ev.Break(ticket=ticket):
+                    assert ticket in self.begun
+                case ev.Add(call=call):
+                    self.calls.append(call)
+        self.seen = len(self.rig.did)
+
+    @rule(path=st.sampled_from(PATHS), customer=st.sampled_from(("anna", "free")),
+          deadline=st.sampled_from(("50", "400", "4000")))
+    def arrive(self, path: str, customer: str, deadline: str) -> None:
+        self.tickets.append(self.rig.ask(path, customer, "POST", x_deadline_ms=deadline))
+        self._look()
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data(), how=st.sampled_from(list(Ending)))
+    def attempt_ends(self, data: st.DataObject, how: Ending) -> None:
+        ticket = data.draw(st.sampled_from(sorted(self.out)))
+        number = self.out.pop(ticket)
+        if how not in (Ending.NOT_CONNECTED, Ending.NO_PLACE, Ending.NOT_WRITTEN):
+            self.rig.tell(ev.Written(ticket, number))
+        self.rig.tell(ev.AttemptEnded(ticket, number, how))
+        self._look()
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data(), status=st.sampled_from((200, 404, 500, 503)), refused=st.booleans(),
+          begins=st.booleans(), ends=st.booleans())
+    def answer(self, data: st.DataObject, status: int, refused: bool, begins: bool, ends: bool) -> None:
+        ticket = data.draw(st.sampled_from(sorted(self.out)))
+        number = self.out[ticket]
+        self.rig.tell(ev.Written(ticket, number))
+        if ticket not in self.begun:
+            self.rig.tell(ev.AnswerHead(ticket, number, status, [(b"x-not-run", b"1")] if refused else []))
+            self._look()
+        if self.out.get(ticket) != number:
+            return  # it was no answer to pass on
+        if begins and ticket not in self.begun and ticket not in self.left:
+            self.begun.add(ticket)
+            self.rig.tell(ev.AnswerBegun(ticket, number))
+        if ends:
+            del self.out[ticket]
+            self.rig.tell(ev.AnswerWhole(ticket, number))
+        self._look()
+
+    @precondition(lambda self: self.tickets)
+    @rule(data=st.data())
+    def leave(self, data: st.DataObject) -> None:
+        ticket = data.draw(st.sampled_from(self.tickets))
+        self.rig.tell(ev.ClientLeft(ticket))
+        self.left.add(ticket)
+        self._look()
+
+    @precondition(lambda self: self.calls)
+    @rule(data=st.data(), verdict=st.sampled_from((Verdict.OK, Verdict.FULL, Verdict.TIMEOUT)),
+          total=st.floats(0, 100))
+    def count(self, data: st.DataObject, verdict: Verdict, total: float) -> None:
+        call = data.draw(st.sampled_from(self.calls))  # an old one as well: a late or doubled reply
+        self.rig.tell(ev.Counted(call, verdict, total))
+        self._look()
+
+    @rule(ms=st.sampled_from((1.0, 30.0, 300.0, 5000.0)))
+    def wait(self, ms: float) -> None:
+        self.rig.pass_time(ms)
+        self._look()
+
+    @rule(numbers=st.sets(st.integers(1, 5)), state=st.sampled_from(list(State)),
+          scope=st.sampled_from((Scope.FULL, Scope.CHANGES, Scope.LOST)))
+    def list_changes(self, numbers: set[int], state: State, scope: Scope) -> None:
+        self.rig.tell(listed(*sorted(numbers), scope=scope, state=state))
+        self._look()
+
+    @invariant()
+    def books_agree(self) -> None:
+        # A begun answer is final for the client, and stays open until its last byte.
+        half = self.begun & self.over & set(self.out) - self.left
+        assert self.rig.engine.open == len(set(self.tickets) - self.over - self.left) + len(half)
+
+    def teardown(self) -> None:
+        for ticket, number in list(self.out.items()):
+            if ticket in self.begun:
+                self.rig.tell(ev.AnswerWhole(ticket, number))
+                del self.out[ticket]
+        self.rig.pass_time(20_000)
+        self._look()
+        assert self.rig.quiet() == QUIET
+        for ticket in self.tickets:
+            assert ticket in self.over or ticket in self.left, "a request without its final answer"
+        assert not self.out
+
+
+Door.TestCase.settings = hypo(max_examples=120, stateful_step_count=40, deadline=None, derandomize=True)
+TestDoor = Door.TestCase
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,495 @@
+"""The door on sockets: the hard cases of HTTP and of connections that end at a bad moment."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+
+import pytest
+
+from tests.socket_rig import Peer, get, house, run
+
+
+async def good(peer: Peer) -> None:
+    """Answers every request with its target."""
+    while True:
+        head = await peer.head()
+        await peer.answer(head.split()[1])
+
+
+async def silent(peer: Peer) -> None:
+    """Takes everything, answers nothing."""
+    await peer.rest()
+
+
+def test_kept_alive_and_pipelined_requests_are_answered_in_order() -> None:
+    async def test() -> None:
+        async with house(good) as door:
+            peer = await door.client()
+            await peer.write("".join(get(f"/read/{n}") for n in range(5)))
+            bodies = [(await peer.response())[2] for _ in range(5)]
+            assert bodies == [b"/read/%d" % n for n in range(5)]
+            assert door.driver.pool.opened == 1  # one connection to the server serves them all
+    run(test())
+
+
+def test_a_head_one_byte_at_a_time() -> None:
+    async def test() -> None:
+        async with house(good) as door:
+            peer = await door.client()
+            for byte in get().encode():
+                await peer.write(bytes([byte]))
+                await asyncio.sleep(0)
+            assert (await peer.response())[0] == 200
+    run(test())
+
+
+@pytest.mark.parametrize(("sent", "status"), [
+    ("POST /read/1 HTTP/1.1\r\nhost: d\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+    ("GET /read/1 HTTP/1.1\r\nhost: d\r\nx-long: " + "x" * 20_000 + "\r\n\r\n", 431),
+    ("POST /read/1 HTTP/1.1\r\nhost: d\r\nx-customer: free\r\ncontent-length: 99999999\r\n\r\n", 413),
+    ("POST /read/1 HTTP/1.1\r\nhost: d\r\ncontent-length: -3\r\n\r\n", 400),
+    ("POST /read/1 HTTP/1.1\r\nhost: d\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd", 400),
+    ("POST /read/1 HTTP/1.1\r\nhost: d\r\ntransfer-encoding: gzip\r\n\r\n", 501),
+    ("GET /read/1 HTTP/1.1\r\n\r\n", 400),  # no host
+    ("nonsense\r\n\r\n", 400),
+    ("GET /read/1 HTTP/1.1\r\nhost: d\r\nbad header\r\n\r\n", 400),
+    ("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400),
+])
+def test_bad_requests_get_a_4xx_and_the_connection_ends(sent: str, status: int) -> None:
+    async def test() -> None:
+        async with house(good) as door:
+            peer = await door.client()
+            await peer.write(sent.encode("latin-1"))
+            got = await peer.rest()
+            assert int(got.split()[1]) == status, got
+            assert got.count(b"HTTP/1.1") == 1
+            assert (await door.ask())[0] == 200  # others are served as before
+    run(test())
+
+
+def test_a_chunked_body_past_the_bound_is_a_413() -> None:
+    async def test() -> None:
+        async with house(silent, text="listener { body_bytes: 1000 }") as door:
+            peer = await door.client()
+            await peer.write(get(method="POST", more="transfer-encoding: chunked\r\n"))
+            await peer.write("7d0\r\n" + "x" * 2000 + "\r\n")
+            assert (await peer.rest()).startswith(b"HTTP/1.1 413")
+            assert not door.driver.engine.open
+    run(test())
+
+
+def test_bodies_go_both_ways_with_length_and_in_chunks() -> None:
+    async def echo(peer: Peer) -> None:
+        while True:
+            head = await peer.head()
+            if "transfer-encoding: chunked" in head:
+                body = b""
+                while size := int(await peer.reader.readline(), 16):
+                    body += await peer.read(size)
+                    await peer.read(2)
+                await peer.read(2)
+            else:
+                body = await peer.read(int(head.split("content-length: ")[1].split()[0]))
+            await peer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"
+                             % (len(body), body))
+
+    async def test() -> None:
+        async with house(echo) as door:
+            peer = await door.client()
+            await peer.write(get(method="POST", more="content-length: 5\r\n") + "hello")
+            assert (await peer.head()).startswith("http/1.1 200")
+            assert await peer.read(15) == b"5\r\nhello\r\n0\r\n\r\n"
+            await peer.write(get(method="PUT", more="transfer-encoding: chunked\r\n"))
+            await peer.write("3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+            assert (await peer.head()).startswith("http/1.1 200")
+            assert await peer.read(15) == b"5\r\nabcde\r\n0\r\n\r\n"
+    run(test())
+
+
+def test_a_large_body_and_answer_stream_through_with_back_pressure() -> None:
+    size = 8 << 20
+
+    async def echo(peer: Peer) -> None:
+        await peer.head()
+        body = await peer.read(size)
+        await peer.write(f"HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n")
+        await peer.write(body)
+
+    async def test() -> None:
+        async with house(echo) as door:
+            peer = await door.client()
+            body = bytes(range(256)) * (size // 256)
+            head = get(method="POST", more=f"content-length: {size}\r\n").encode()
+            sending = asyncio.create_task(peer.write(head + body))
+            # Nothing is read yet: the door may hold no more than its bounds.
+            while not sending.done():
+                for flight in door.driver.flights.values():
+                    assert flight.body is None or len(flight.body.kept) <= 3 * 65536
+                    assert flight.held_bytes <= 3 * 65536
+                await asyncio.sleep(0.001)
+            status, _, got = await peer.response()
+            assert status == 200 and got == body
+    run(test())
+
+
+def test_expect_100_continue_is_answered_only_when_the_body_is_wanted() -> None:
+    async def take(peer: Peer) -> None:
+        head = await peer.head()
+        assert "expect" not in head
+        assert await peer.read(4) == b"body"
+        await peer.answer()
+
+    async def test() -> None:
+        async with house(take) as door:
+            peer = await door.client()
+            await peer.write(get(method="POST", more="content-length: 4\r\nexpect: 100-continue\r\n"))
+            assert (await peer.head()).startswith("http/1.1 100")
+            await peer.write("body")
+            assert (await peer.response())[0] == 200
+        async with house() as door:  # no server: refused, and the body is never asked for
+            peer = await door.client()
+            await peer.write(get(method="POST", more="content-length: 4\r\nexpect: 100-continue\r\n"))
+            got = await peer.rest()
+            assert got.startswith(b"HTTP/1.1 503") and b"connection: close" in got.lower()
+    run(test())
+
+
+def test_an_early_4xx_ends_the_sending_of_the_body() -> None:
+    async def early(peer: Peer) -> None:
+        await peer.head()
+        await peer.answer("too much", "413 Content Too Large")
+        await peer.rest()
+
+    async def test() -> None:
+        async with house(early) as door:
+            peer = await door.client()
+            await peer.write(get(method="POST", more="content-length: 1000000\r\n") + "x" * 100_000)
+            status, head, body = await peer.response()
+            assert (status, body) == (413, b"too much") and "connection: close" in head
+            assert len(door.answers()) == 1 and door.answers()[0]["attempts"] == 1
+    run(test())
+
+
+def test_head_has_the_length_and_no_body() -> None:
+    async def headed(peer: Peer) -> None:
+        while True:
+            head = await peer.head()
+            assert head.startswith(("head", "get"))
+            await peer.write("HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n" + ("" if head[0] == "h" else "x" * 100))
+
+    async def test() -> None:
+        async with house(headed) as door:
+            peer = await door.client()
+            await peer.write(get(method="HEAD") + get())
+            assert "content-length: 100" in await peer.head()
+            assert (await peer.response())[2] == b"x" * 100
+    run(test())
+
+
+def test_http_1_0_is_answered_and_closed() -> None:
+    async def test() -> None:
+        async with house(good) as door:
+            peer = await door.client()
+            await peer.write("GET /read/9 HTTP/1.0\r\nx-customer: free\r\n\r\n")
+            got = await peer.rest()
+            assert got.startswith(b"HTTP/1.1 200") and got.endswith(b"/read/9")
+    run(test())
+
+
+def test_a_client_that_closed_its_half_is_still_answered() -> None:
+    async def test() -> None:
+        async with house(good) as door:
+            peer = await door.client()
+            await peer.write(get("/read/5"))
+            peer.writer.write_eof()
+            got = await peer.rest()
+            assert got.startswith(b"HTTP/1.1 200") and got.endswith(b"/read/5")
+    run(test())
+
+
+def test_a_client_that_closed_its_half_can_be_taken_for_gone() -> None:
+    async def test() -> None:
+        async with house(silent, text="listener { leave_on_half_close: true }") as door:
+            peer = await door.client()
+            await peer.write(get())
+            await door.until(lambda: door.driver.engine.open == 1)
+            peer.writer.write_eof()
+            await door.until(lambda: door.driver.engine.open == 0)
+            assert door.answers()[0]["reason"] == "client left"
+    run(test())
+
+
+def test_a_client_that_resets_is_gone_and_its_attempt_is_called_off() -> None:
+    ended = asyncio.Event()
+
+    async def waits(peer: Peer) -> None:
+        await peer.head()
+        await peer.rest()
+        ended.set()
+
+    async def test() -> None:
+        async with house(waits) as door:
+            peer = await door.client()
+            await peer.write(get())
+            await door.until(lambda: bool(door.driver.flights) and door.driver.engine.open == 1)
+            peer.reset()
+            await ended.wait()  # the server sees its connection end
+            assert door.answers()[0]["reason"] == "client left" and not door.driver.flights
+    run(test())
+
+
+def test_a_kept_connection_that_the_server_closed_is_not_written_to() -> None:
+    heads = []
+
+    async def once(peer: Peer) -> None:
+        heads.append(await peer.head())
+        await peer.answer()  # and closes, without having said so
+
+    async def test() -> None:
+        async with house(once) as door:
+            for _ in range(3):
+                assert (await door.ask("/pay/1"))[0] == 200  # unsafe: written to a dead connection it would fail
+                await asyncio.sleep(0.02)
+            assert len(heads) == 3 and all(line["attempts"] == 1 for line in door.answers())
+    run(test())
+
+
+def test_a_server_that_closes_as_the_request_is_written_may_have_run_it() -> None:
+    async def closes(peer: Peer) -> None:
+        await peer.head()
+        await peer.answer()
+        await peer.head()
+        peer.reset()
+
+    async def test() -> None:
+        async with house(closes) as door:
+            peer = await door.client()
+            await peer.write(get("/pay/1"))
+            assert (await peer.response())[0] == 200
+            await peer.write(get("/pay/2"))
+            status, _, body = await peer.response()
+            assert status == 502 and json.loads(body)["reason"] == "failed"
+            assert door.answers()[1]["attempts"] == 1
+    run(test())
+
+
+def test_an_answer_cut_in_half_is_replaced_by_another_attempts() -> None:
+    state = {"first": True}
+
+    async def cuts(peer: Peer) -> None:
+        while True:
+            await peer.head()
+            if state.pop("first", False):
+                await peer.write("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf")
+                return
+            await peer.answer("whole")
+
+    async def test() -> None:
+        async with house(cuts, cuts) as door:
+            status, _, body = await door.ask()
+            assert (status, body) == (200, b"whole") and door.answers()[0]["attempts"] == 2
+    run(test())
+
+
+def test_a_long_answer_that_breaks_breaks_the_clients_connection() -> None:
+    async def breaks(peer: Peer) -> None:
+        await peer.head()
+        await peer.write("HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n" + "x" * 300_000)
+        await asyncio.sleep(0.05)
+        peer.reset()
+
+    async def test() -> None:
+        async with house(breaks) as door:
+            peer = await door.client()
+            await peer.write(get())
+            got = await peer.rest()
+            assert got.startswith(b"HTTP/1.1 200") and len(got) < 1_000_000
+            await door.until(lambda: bool(door.answers()))
+            assert door.answers()[0]["reason"] == "broken answer" and door.answers()[0]["attempts"] == 1
+    run(test())
+
+
+def test_a_body_within_the_bound_is_written_again_and_one_beyond_is_not() -> None:
+    bodies = []
+
+    async def drops_first(peer: Peer) -> None:
+        head = await peer.head()
+        body = await peer.read(int(head.split("content-length: ")[1].split()[0]))
+        bodies.append(body)
+        if "x-attempt: 0" in head:
+            peer.reset()
+        else:
+            await peer.answer()
+
+    async def test() -> None:
+        async with house(drops_first, drops_first, text="upstream { keep_body_bytes: 1000 }") as door:
+            for size, status, attempts in ((1000, 200, 2), (200_000, 503, 1)):
+                bodies.clear()
+                peer = await door.client()
+                await peer.write(get(method="POST", more=f"content-length: {size}\r\n") + "b" * size)
+                assert (await peer.response())[0] == status
+                assert bodies == [b"b" * size] * attempts
+    run(test())
+
+
+def test_a_connection_that_cannot_be_made_proves_that_nothing_ran() -> None:
+    async def test() -> None:
+        closed = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = closed.sockets[0].getsockname()[1]
+        closed.close()
+        await closed.wait_closed()
+        async with house(good, ports=(port, port)) as door:
+            for _ in range(12):
+                assert (await door.ask("/pay/1"))[0] == 200  # unsafe: sent again only as nothing was written
+            assert max(line["attempts"] for line in door.answers()) > 1  # some met the closed port first
+    run(test())
+
+
+def test_the_bound_of_connections_to_a_server_is_kept() -> None:
+    most = {"now": 0, "most": 0}
+    go = asyncio.Event()
+
+    async def counts(peer: Peer) -> None:
+        await peer.head()
+        most["now"] += 1
+        most["most"] = max(most["most"], most["now"])
+        await go.wait()
+        most["now"] -= 1
+        await peer.answer()
+
+    async def test() -> None:
+        async with house(counts, counts, text="upstream { connections: 2 max_attempts: 2 }") as door:
+            asks = [asyncio.create_task(door.ask()) for _ in range(12)]
+            await door.until(lambda: sum(task.done() for task in asks) + most["now"] == 12)
+            go.set()
+            statuses = [(await task)[0] for task in asks]
+            assert most["most"] <= 4 and statuses.count(200) >= 2 and set(statuses) <= {200, 503}
+            assert door.driver.pool.connections <= 4
+    run(test())
+
+
+def test_what_is_not_http_from_a_server_is_a_failed_attempt() -> None:
+    async def babbles(peer: Peer) -> None:
+        await peer.head()
+        await peer.write("SSH-2.0-nonsense\r\n\r\n")
+        await peer.rest()
+
+    async def test() -> None:
+        async with house(babbles) as door:
+            assert (await door.ask("/pay/1"))[0] == 502
+    run(test())
+
+
+def test_nothing_is_written_for_an_attempt_that_the_deadline_overtook() -> None:
+    got = []
+
+    async def slow(peer: Peer) -> None:
+        got.append(await peer.head())
+        assert await peer.rest() == b""  # its end is all that follows
+
+    async def test() -> None:
+        async with house(slow) as door:
+            status, head, _ = await door.ask("/pay/1", more="x-deadline-ms: 300\r\n")
+            assert status == 504 and "retry-after" not in head
+            assert len(got) == 1
+    run(test())
+
+
+def test_a_stop_answers_what_is_held_and_closes_idle_connections() -> None:
+    go = asyncio.Event()
+
+    async def waits(peer: Peer) -> None:
+        await peer.head()
+        await go.wait()
+        await peer.answer("late but whole")
+
+    async def test() -> None:
+        async with house(waits) as door:
+            idle, busy = await door.client(), await door.client()
+            await busy.write(get())
+            await door.until(lambda: door.driver.engine.open == 1)
+            stopping = asyncio.create_task(door.driver.stop(10_000.0))
+            assert await idle.rest() == b""
+            with pytest.raises(OSError):
+                await door.client()
+            go.set()
+            status, head, body = await busy.response()
+            assert (status, body) == (200, b"late but whole") and "connection: close" in head
+            assert await stopping is True
+    run(test())
+
+
+def test_a_stop_that_takes_too_long_gives_the_rest_its_answer() -> None:
+    async def test() -> None:
+        async with house(silent) as door:
+            peer = await door.client()
+            await peer.write(get("/pay/1"))
+            await door.until(lambda: door.driver.engine.open == 1)
+            assert await door.driver.stop(20.0) is False
+            assert (await peer.response())[0] == 504
+    run(test())
+
+
+def test_connections_past_the_bound_are_told_so() -> None:
+    async def test() -> None:
+        async with house(good, text="listener { max_connections: 3 }") as door:
+            held = [await door.client() for _ in range(3)]
+            for peer in held:
+                await peer.write(get())
+                assert (await peer.response())[0] == 200
+            more = await door.client()
+            assert (await more.rest()).startswith(b"HTTP/1.1 503")
+            held[0].close()
+            await door.until(lambda: len(door.driver.clients) < 3)
+            assert (await door.ask())[0] == 200
+    run(test())
+
+
+def test_running_out_of_file_descriptors_on_accept_ends_nothing() -> None:
+    resource = pytest.importorskip("resource")
+
+    async def test() -> None:
+        async with house(good) as door:
+            peer = await door.client()
+            await peer.write(get())
+            await peer.response()
+            faults: list[dict[str, object]] = []
+            asyncio.get_running_loop().set_exception_handler(lambda _, context: faults.append(context))
+            soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+            # The clients' own sockets are made first; then no descriptor is left for the door's side of them.
+            waiting = [socket.socket() for _ in range(4)]
+            spare: list[int] = []
+            try:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (max(int(n) for n in os.listdir("/proc/self/fd")) + 1, hard))
+                with contextlib.suppress(OSError):
+                    while True:
+                        spare.append(os.dup(0))
+                for each in waiting:
+                    each.setblocking(False)
+                    with contextlib.suppress(BlockingIOError):
+                        each.connect(("127.0.0.1", door.port))
+                await door.until(lambda: bool(faults))
+                await peer.write(get("/read/still"))  # on a connection that it has
+                assert (await peer.response())[2] == b"/read/still"
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+                for number in spare:
+                    os.close(number)
+                for each in waiting:
+                    each.close()
+            assert (await door.ask())[0] == 200  # accepts again once there is room
+    run(test())
+
+
+def test_an_idle_or_slow_client_is_let_go() -> None:
+    async def test() -> None:
+        async with house(good, text="listener { idle_ms: 30 head_ms: 30 }") as door:
+            idle, slow = await door.client(), await door.client()
+            await slow.write("GET /read/1 HT")
+            assert await idle.rest() == b""
+            assert (await slow.rest()).startswith(b"HTTP/1.1 408")
+    run(test())
