--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -168,7 +168,7 @@
         check.above_zero(door.store, node, "timeout_ms")
         for name in ("connections", "waiting"):
             check.number(door.store, node, name, 1)
-        shortest = min((entry.deadline_ms for entry in getattr(door, "class")), default=math.inf)
+        shortest = min((entry.deadline_ms for entry in getattr(door, "class") if entry.deadline_ms), default=math.inf)
         if door.store.timeout_ms >= shortest:
             check.fault(node.at("timeout_ms"), f"expected below the shortest deadline of {shortest:g}")
     if door.HasField("members"):
--- a/martenstep/store/redis_store.py
+++ b/martenstep/store/redis_store.py
@@ -146,7 +146,7 @@
         if pause > 0:
             await asyncio.sleep(pause)
         fresh = Connection(host=self._store.host, port=self._store.port, db=self._store.database,
-                           retry=Retry(NoBackoff(), 0), decode_responses=True, lib_name=None, lib_version=None)
+                           retry=Retry(NoBackoff(), 0), decode_responses=True, driver_info=None)
         try:
             async with asyncio.timeout(max(until - time.monotonic(), 0.0)):
                 await fresh.connect()  # type: ignore[no-untyped-call]
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,162 @@
+"""Settings: every fault with its file, line, column and field, all of them at once."""
+
+from __future__ import annotations
+
+import importlib
+from pathlib import Path
+
+import pytest
+from google.protobuf import text_format
+from hypothesis import given
+from hypothesis import settings as hypo
+from hypothesis import strategies as st
+
+from martenstep.config import door_pb2 as pb
+from martenstep.config.generate import ROOT, generate
+from martenstep.config.settings import customer_id, load_door, module_settings, parse_door
+from martenstep.config.text import Faults
+from martenstep.interface import Effect, Group
+from tests.door_rig import DOOR
+
+
+def faults(text: str) -> list[str]:
+    with pytest.raises(Faults) as caught:
+        parse_door(text, "d")
+    return str(caught.value).split("\n")
+
+
+def test_the_generated_code_is_current(tmp_path: Path) -> None:
+    for made in generate(tmp_path):
+        committed = ROOT / made.relative_to(tmp_path)
+        assert made.read_text() == committed.read_text(), f"run python -m martenstep.config.generate ({committed})"
+
+
+def test_settings_become_the_modules() -> None:
+    told = module_settings(parse_door(DOOR, "d"))
+    assert (told.me, told.gateways, told.max_attempts, told.has_counter) == (0, 2, 3, True)
+    write = told.classes[1]
+    assert (write.effect, write.group, write.window_ms) == (Effect.KEYED, Group.ZONE, 3000.0)
+    assert told.plans[0].burst == 20.0 and told.counter_timeout_ms == 50.0
+
+
+def at(text: str, mark: str) -> str:
+    """Line and column of the place that `|` stands for in a piece of the text."""
+    before, _, after = mark.partition("|")
+    assert text.count(before + after) == 1, mark
+    place = text.index(before + after) + len(before)
+    return f"{text.count(chr(10), 0, place) + 1}:{place - text.rfind(chr(10), 0, place)}"
+
+
+@pytest.mark.parametrize(("old", "new", "mark", "told"), [
+    ('zone: "a"', "zone: 3", "zone: |3", "zone: expected a string in quotes, got 3"),
+    ("instances: 2", "instances: -2", "instances: |-2",
+     "instances: expected a whole number from 0 to 4294967295, got -2"),
+    ("instances: 2", "instances: two", "instances: |two",
+     "instances: expected a whole number from 0 to 4294967295, got two"),
+    ("instance: 0", "instance: 5", "|instance: 5", "instance: expected below instances of 2, got 5"),
+    ("store {", "stroe {", "|stroe {", "stroe: there is no such field in Door"),
+    ("effect: UNSAFE", "effect: RISKY", "|RISKY",
+     "class[2].effect: expected one of SAFE, KEYED, UNSAFE, got RISKY"),
+    ("rate: 10 burst: 20", "rate: 10", '|plan { name: "plain"',
+     "plan[0].burst: missing, expected above 0 where there is a rate"),
+    ("rate: 10 burst: 20", "rate: nan burst: 20", "|nan", "plan[0].rate: expected a finite number, got nan"),
+    ('class { name: "read" aim_ms: 1000 deadline_ms: 4000 }', 'class { name: "read" aim_ms: 1000 }',
+     '|class { name: "read"', "class[0].deadline_ms: missing, expected above 0"),
+    ('"read" aim_ms: 1000', '"read" aim_ms: 9000', "|aim_ms: 9000",
+     "class[0].aim_ms: expected no more than the deadline of 4000, got 9000"),
+    ("window_ms: 3000", "window_ms: 0", "|window_ms: 0", "class[1].window_ms: expected above 0, got 0"),
+    ("members { port: 1 }", "members { port: 70000 }", "|port: 70000",
+     "members.port: expected a port from 1 to 65535, got 70000"),
+    ("members { port: 1 }", "", '|\nname: "door-0"', "members: missing: a door needs a feed of its servers"),
+    ("timeout_ms: 50", "timeout_ms: 5000", "|timeout_ms: 5000",
+     "store.timeout_ms: expected below the shortest deadline of 4000"),
+    ("max_attempts: 3", "max_attempts: 3 error_status: 200", "|error_status: 200",
+     "upstream.error_status[0]: expected a status from 400 to 599, got 200"),
+    ('plan { name: "open" }', 'plan { name: "open" } plan { name: "plain" }', '|name: "plain" }',
+     "plan[2].name: 'plain' is taken by the entry at line 10"),
+    ('customer { key: "free" plan: "open" }', 'customer { key: "free" plan: "oepn" }', '|plan: "oepn"',
+     "customer[1].plan: no plan is named 'oepn' (there are: open, plain)"),
+    ('class: "pay"', 'class: "play"', '|class: "play"',
+     "route[2].class: no class is named 'play' (there are: pay, read, write)"),
+    ("units: 2", "units: 9", "|units: 9", "route[2].units: expected no more than max_units of 4, got 9"),
+    ('path_prefix: "/pay/"', 'path_prefix: "pay/"', '|path_prefix: "pay/"',
+     "route[2].path_prefix: expected a path that begins with '/', got 'pay/'"),
+    ('method: "POST"', 'method: "FETCH"', '|method: "FETCH"',
+     "route[1].method[0]: expected one of GET, HEAD, POST, PUT, DELETE, OPTIONS, PATCH, got 'FETCH'"),
+    ("customer_segment: 2", 'customer_segment: 2 customer_header: "x"', '|customer_header: "x" ',
+     "route[1].customer_header: given beside customer_segment; only one of them may be"),
+    ('customer { key: "free" plan: "open" }', 'customer { key: "anna" plan: "open" }', '|key: "anna" plan: "open"',
+     "customer[1].key: 'anna' is taken by the entry at line 12"),
+    ("answer_slack_ms: 8", "answer_slack_ms: 8 cold_from: 2", "|cold_from: 2",
+     "rules.cold_from: expected from 0 to 1, got 2"),
+    ("answer_slack_ms: 8", "warm_within_ms: 8", "|rules {",
+     "rules.fall_window_ms: missing, expected above 0 where servers start cold"),
+    ('name: "door-0"', 'name: "door-0" name: "door-1"', '|name: "door-1"', "name: given twice"),
+    ("rules {", "rules (", "rules |(", "rules: expected ':' or '{', got '('"),
+    ("rules { answer_slack_ms: 8 }", "rules { answer_slack_ms: 8", "answer_slack_ms: 8\n|",
+     "rules: expected a field or '}', got 'the end of the file'"),
+])
+def test_each_fault_is_told_in_one_line(old: str, new: str, mark: str, told: str) -> None:
+    assert DOOR.count(old) == 1
+    text = DOOR.replace(old, new)
+    assert faults(text) == [f"d:{at(text, mark)}: {told}"]
+
+
+def test_all_faults_are_told_not_just_the_first() -> None:
+    text = DOOR.replace('zone: "a"', "zone: 1").replace("port: 1 timeout", "prot: 1 timeout").replace(
+        "deadline_ms: 4000 effect: UNSAFE", 'deadline_ms: "long" effect: UNSAFE')
+    assert [line.split(": ")[1] for line in faults(text)] == ["zone", "store.prot", "class[2].deadline_ms"]
+    assert len(faults("")) >= 6
+
+
+def test_a_file_that_cannot_be_read_is_told(tmp_path: Path) -> None:
+    with pytest.raises(Faults, match="No such file"):
+        load_door(tmp_path / "none.txtpb")
+    (tmp_path / "latin.txtpb").write_bytes(b'name: "\xff"')
+    with pytest.raises(Faults, match="not UTF-8 at byte 7"):
+        load_door(tmp_path / "latin.txtpb")
+    with pytest.raises(Faults, match="directory"):
+        load_door(tmp_path)
+
+
+def test_what_the_program_writes_it_reads() -> None:
+    door = parse_door(DOOR, "d")
+    assert parse_door(text_format.MessageToString(door), "d") == door
+
+
+def test_comments_lists_and_the_other_forms_of_text_format_are_read() -> None:
+    text = DOOR.replace("upstream {", "upstream < # comment }\n error_status: [500,\n 502] error_status: 0x1F6;")
+    text = text.replace("connect_ms: 200 }", "connect_ms: 2e2 >").replace('"door-0"', "'door' \"-0\"")
+    door = parse_door(text, "d")
+    assert list(door.upstream.error_status) == [500, 502, 502] and door.upstream.connect_ms == 200.0
+    assert door.name == "door-0"
+
+
+@given(st.text(alphabet='ab:{}<>[]"\'\\ \n0159.-#,;_x', max_size=80))
+@hypo(max_examples=300, deadline=None, derandomize=True)
+def test_no_text_brings_it_down(text: str) -> None:
+    with pytest.raises(Faults) as caught:
+        parse_door(text, "d")
+    assert all(line.startswith("d:") for line in str(caught.value).split("\n"))
+
+
+@given(st.sampled_from(DOOR.split()), st.sampled_from(["", "}", "{", '"', "-1", "1e400", "nan", "[", "x: 1"]))
+@hypo(max_examples=300, deadline=None, derandomize=True)
+def test_no_damage_to_a_good_file_brings_it_down(word: str, other: str) -> None:
+    try:
+        door = parse_door(DOOR.replace(word, other), "d")
+    except Faults as error:
+        assert error.faults
+    else:
+        module_settings(door)  # what passes the checks can be used
+
+
+def test_customers_have_the_same_number_everywhere() -> None:
+    assert customer_id("anna") == customer_id("anna") < 1 << 33
+    assert len({customer_id(f"c{n}") for n in range(10_000)}) == 10_000
+
+
+def test_the_compiler_is_only_needed_by_developers() -> None:
+    source = (ROOT / "martenstep/config/generate.py").read_text()
+    assert "import grpc_tools" not in source and importlib.util.find_spec("grpc_tools")
+    assert pb.Door().listener.head_bytes == 16384
