Answers are handed on as their bytes come; the choice of servers takes less work for the same decisions

Change: no task waits for an answer (the reader of the connection hands on what comes), and Fleet.pick skips sums that are 0 and products with 1. Also: a feed stand-in that was dropped told lists nobody got, which the rule checker took for told drains; a lost feed is asked again every 2 s at most (was 5).

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -437,9 +437,11 @@
         if not peer.base:
             return self._mean / max(peer.info.size, 0.1), 0.0
         queue = max(peer.latency - peer.base, 0.0)
-        queue *= math.exp((peer.timed - now) / max(QUEUE_TAU_MS, QUEUE_TIMES * queue))
-        # What is out there tells before it is answered.
-        return peer.base, max(queue, now - min(peer.out.values(), default=now) - peer.base)
+        if queue:
+            queue *= math.exp((peer.timed - now) / max(QUEUE_TAU_MS, QUEUE_TIMES * queue))
+        for since in peer.out.values():  # what is out there tells before it is answered, the oldest most
+            return peer.base, max(queue, now - since - peer.base)
+        return peer.base, queue
 
     def patience(self, now: float, peer_id: int, aim: float) -> float:
         """How long without an answer is silence."""
@@ -481,19 +483,27 @@
         # What it has few answers of, it chooses by chance, with odds as 1/cost where it knows nothing.
         width, blur = self._width(now), self._blur(now)
         for peer in self._up:
-            if (allowed and not allowed(peer.info)) or not self._may_warm(now, peer):
+            if allowed and not allowed(peer.info):
+                continue
+            if peer.info.started_ms > 0 and not self._may_warm(now, peer):
                 continue
             if width <= 0:
                 break
             width -= 1
             base, queue = self._expect(now, peer)
-            cost = (base * (1 + len(peer.out)) + queue) * (1 + FAIL_COST * peer.failures(now))
-            worst = max(worst or (cost, peer), (cost, peer), key=lambda pair: pair[0])
+            cost = base * (1 + len(peer.out)) + queue
+            if peer.failing:
+                cost *= 1 + FAIL_COST * peer.failures(now)
+            if worst is None or cost > worst[0]:
+                worst = cost, peer
             cost *= (-math.log(1 - draw())) ** blur
-            cost *= OTHER_ZONE if peer.info.zone != home else 1.0
-            cost *= FAIL_COST if peer.info.id in tried else 1.0
+            if peer.info.zone != home:
+                cost *= OTHER_ZONE
+            if peer.info.id in tried:
+                cost *= FAIL_COST
             # Where tables of connections are full, all gateways keep to servers that they are connected to.
-            cost *= 1.0 if now - peer.answered < CONNECTED_MS else 1 + self._unmet * len(self._up)
+            if now - peer.answered >= CONNECTED_MS:
+                cost *= 1 + self._unmet * len(self._up)
             if best is None or cost < best[0]:
                 best = cost, peer
         if worst and width <= 0 and draw() < TURN_CHANCE:
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -1,8 +1,9 @@
 """Binds the engine to sockets.
 
-One coroutine a client connection reads requests in turn; one task an attempt writes to a server and reads its
-answer.  Whatever is to be decided goes to the engine as an event, and what it answers is done here and now: between
-the engine's word and the bytes there is no await, so that nothing is written for an attempt that was given up.
+One coroutine a client connection reads requests in turn; answers of servers are handed on as their bytes come, and
+only dialling, long bodies and slow clients take tasks of their own.  Whatever is to be decided goes to the engine as
+an event, and what it answers is done here and now: between the engine's word and the bytes there is no await, so that
+nothing is written for an attempt that was given up.
 
 Bodies are read from the client only once an attempt wants them, and only so far ahead as is kept for a further
 attempt; an answer is held back until it is whole or outgrows the stated bound, so that a broken one can still be
@@ -29,6 +30,7 @@
 
 READ_BYTES = 65536  # of one read, and what a stream buffers before it stops reading
 SWEEP_MS = 250.0  # how often idle and stalled connections are looked for
+PASS_BYTES = 65536  # of an answer that a slow client has not taken yet, before its server is read no further
 LINGER_BYTES = 262144  # of an unread body that are read and thrown away, so that a reset does not eat the answer
 LINGER_MS = 1000.0
 HEADER_EXTRA = 4  # colon, space and line end of one header
@@ -90,12 +92,13 @@
 class Flight:
     """One client request on its way."""
 
-    __slots__ = ("body", "client", "done", "held", "held_bytes", "passing", "progress", "pump", "task", "ticket",
-                 "upstream")
+    __slots__ = ("body", "client", "done", "held", "held_bytes", "number", "passing", "progress", "pump", "task",
+                 "ticket", "upstream")
 
     def __init__(self, ticket: int, client: Client, body: Body | None, done: asyncio.Future[None]) -> None:
         self.ticket, self.client, self.body, self.done = ticket, client, body, done
-        self.task: asyncio.Task[None] | None = None  # of the present attempt
+        self.number = 0  # of the present attempt
+        self.task: asyncio.Task[None] | None = None  # that dials or writes for it
         self.pump: asyncio.Task[None] | None = None  # reads the client's body
         self.upstream: Upstream | None = None
         self.held: list[bytes] = []  # of the answer, not passed on yet
@@ -239,7 +242,7 @@
                 await self.writer.drain()
         finally:
             self.flight = None
-            if not (flight.task and not flight.task.done()):
+            if flight.task is None and flight.upstream is None:
                 driver.flights.pop(ticket, None)
 
     async def _next(self) -> bool:
@@ -327,6 +330,7 @@
         self._ticket = 0
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
+        self._resuming: set[asyncio.Task[None]] = set()
         self._carry: dict[type, Callable[[Any], None]] = {
             ev.Open: self._open, ev.Abandon: self._abandon, ev.Pass: self._pass, ev.Reply: self._reply,
             ev.Break: self._break, ev.Add: self._add, ev.Listen: self._listen, ev.Note: self._told,
@@ -411,7 +415,7 @@
                     client.writer.close()
             for flight in list(self.flights.values()):
                 if flight.passing and now - flight.progress > self.upstream.answer_idle_ms:
-                    self._failed(flight, self._number(flight), Ending.STALLED)
+                    self._failed(flight, Ending.STALLED)
 
     # Engine ---------------------------------------------------------------------------------------------
 
@@ -498,23 +502,19 @@
 
     # Attempts -------------------------------------------------------------------------------------------
 
-    @staticmethod
-    def _number(flight: Flight) -> int:
-        name = flight.task.get_name() if flight.task else "0"
-        return int(name)
-
     def _open(self, action: ev.Open) -> None:
         flight = self.flights.get(action.ticket)
         if flight is None:
             return
         self.counts["attempts"] += 1
-        flight.held, flight.held_bytes = [], 0
+        flight.number, flight.held, flight.held_bytes = action.attempt, [], 0
         upstream = self.pool.take(action.address)
-        if upstream is None and not self.pool.reserve(action.address):
+        if upstream is not None:
+            self._begin(flight, action, upstream)
+        elif self.pool.reserve(action.address):
+            flight.task = self.loop.create_task(self._dial(flight, action))
+        else:
             self.act(ev.AttemptEnded(action.ticket, action.attempt, Ending.NO_PLACE))
-            return
-        flight.upstream = upstream
-        flight.task = self.loop.create_task(self._attempt(flight, action, upstream), name=str(action.attempt))
 
     def _abandon(self, action: ev.Abandon) -> None:
         flight = self.flights.get(action.ticket)
@@ -522,65 +522,57 @@
             self._let_go(flight)
 
     def _let_go(self, flight: Flight) -> None:
-        """End the present attempt's task and its connection, here and now."""
+        """End the present attempt and its connection, here and now."""
         task, flight.task = flight.task, None
         upstream, flight.upstream = flight.upstream, None
         if upstream is not None:
+            upstream.reader.sink = None
             self.pool.drop(upstream)
         if task is not None and task is not asyncio.current_task():
             task.cancel()
         if flight.done.done():
             self.flights.pop(flight.ticket, None)
 
-    def _failed(self, flight: Flight, number: int, how: Ending) -> None:
+    def _failed(self, flight: Flight, how: Ending) -> None:
         """Tell of an attempt that ended by itself; its connection is of no more use."""
         self._let_go(flight)
-        self.act(ev.AttemptEnded(flight.ticket, number, how))
-
-    async def _attempt(self, flight: Flight, action: ev.Open, upstream: Upstream | None) -> None:
-        """One attempt.  Cancelled when it is given up: its connection is dropped by whoever does that."""
-        number = action.attempt
-        if upstream is None:
-            try:
-                upstream = await self.pool.dial(action.address)
-            except OSError:
-                self.pool.release(action.address)
-                if flight.task is asyncio.current_task():
-                    flight.task = None
-                    self.act(ev.AttemptEnded(flight.ticket, number, Ending.NOT_CONNECTED))
-                return
-            except asyncio.CancelledError:
-                self.pool.release(action.address)
-                raise
-            if flight.task is not asyncio.current_task():  # given up while it was being made
-                self.pool.drop(upstream)
-                return
-            flight.upstream = upstream
+        self.act(ev.AttemptEnded(flight.ticket, flight.number, how))
+
+    async def _dial(self, flight: Flight, action: ev.Open) -> None:
+        """Make a connection for an attempt.  Cancelled when it is given up."""
+        try:
+            upstream = await self.pool.dial(action.address)
+        except OSError:
+            self.pool.release(action.address)
+            if flight.task is asyncio.current_task():
+                flight.task = None
+                self.act(ev.AttemptEnded(flight.ticket, action.attempt, Ending.NOT_CONNECTED))
+            return
+        except asyncio.CancelledError:
+            self.pool.release(action.address)
+            raise
+        if flight.task is not asyncio.current_task():  # given up while it was being made
+            self.pool.drop(upstream)
+            return
+        flight.task = None
+        self._begin(flight, action, upstream)
+
+    def _begin(self, flight: Flight, action: ev.Open, upstream: Upstream) -> None:
+        """Write an attempt to a connection; what comes back goes on at once."""
+        flight.upstream = upstream
         if not upstream.sound:
-            self._failed(flight, number, Ending.NOT_WRITTEN)
+            self._failed(flight, Ending.NOT_WRITTEN)
             return
+        upstream.reader.sink = lambda data: self._came(flight, upstream, data)
         try:
-            writing = self._write(flight, action, upstream)
+            more = self._write(flight, action, upstream)
         except h11.LocalProtocolError:  # a head that may not be sent on, though it may come
-            self._failed(flight, number, Ending.NOT_WRITTEN)
+            self._failed(flight, Ending.NOT_WRITTEN)
             return
-        feeding = None
-        if writing:
+        if more:
             if flight.pump is None:
                 flight.pump = self.loop.create_task(flight.client.pump(flight))
-            feeding = self.loop.create_task(self._feed(flight, number, upstream))
-        try:
-            await self._read(flight, number, upstream, feeding)
-        except (ConnectionError, OSError):
-            if flight.upstream is upstream:
-                self._failed(flight, number, Ending.CLOSED)
-        except h11.RemoteProtocolError:
-            if flight.upstream is upstream:
-                ended = upstream.reader.at_eof()
-                self._failed(flight, number, Ending.CLOSED if ended else Ending.BAD_ANSWER)
-        finally:
-            if feeding is not None and not feeding.done():
-                feeding.cancel()
+            flight.task = self.loop.create_task(self._feed(flight, upstream))
 
     def _write(self, flight: Flight, action: ev.Open, upstream: Upstream) -> bool:
         """Write the head, and the body as far as it is at hand; True where more of it is to come."""
@@ -606,7 +598,7 @@
             self.act(ev.BodyDropped(flight.ticket))
         return more
 
-    async def _feed(self, flight: Flight, number: int, upstream: Upstream) -> None:
+    async def _feed(self, flight: Flight, upstream: Upstream) -> None:
         """Write the rest of the body as it comes from the client."""
         body = flight.body
         assert body is not None
@@ -624,56 +616,76 @@
                     body.wake.clear()
                     await body.wake.wait()
 
-    async def _read(self, flight: Flight, number: int, upstream: Upstream,
-                    feeding: asyncio.Task[None] | None) -> None:
-        """Read the answer; pass it on as the engine says."""
-        connection, ticket, hold = upstream.h11, flight.ticket, self.upstream.hold_answer_bytes
+    def _came(self, flight: Flight, upstream: Upstream, data: bytes) -> None:
+        """Bytes of an answer, or its connection's end."""
+        if flight.upstream is not upstream:
+            return
+        try:
+            upstream.h11.receive_data(data)
+            self._read(flight, upstream)
+        except h11.RemoteProtocolError:
+            if flight.upstream is upstream:
+                self._failed(flight, Ending.CLOSED if upstream.reader.ended else Ending.BAD_ANSWER)
+
+    def _read(self, flight: Flight, upstream: Upstream) -> None:
+        """Take what there is of an answer; pass it on as the engine says."""
+        connection, ticket, number = upstream.h11, flight.ticket, flight.number
         client = flight.client
-        while True:
+        while flight.upstream is upstream:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                data = await upstream.reader.read(READ_BYTES)
-                if flight.upstream is not upstream:
-                    return
-                connection.receive_data(data)
-            elif isinstance(event, h11.Response):
+                return
+            if isinstance(event, h11.Response):
                 self.act(ev.AnswerHead(ticket, number, event.status_code, list(event.headers)))
-                if flight.upstream is not upstream:
-                    return  # it was no answer to pass on
             elif isinstance(event, h11.Data):
                 flight.progress = now_ms()
                 part = bytes(event.data)
                 if not flight.passing:
                     flight.held.append(part)
                     flight.held_bytes += len(part)
-                    if flight.held_bytes > hold:
+                    if flight.held_bytes > self.upstream.hold_answer_bytes:
                         self.act(ev.AnswerBegun(ticket, number))
                 elif not client.writer.transport.is_closing():
                     client.writer.write(client.h11.send(h11.Data(data=part)) or b"")
-                    await client.writer.drain()  # the server is read no faster than the client reads
-                    if flight.upstream is not upstream:
-                        return
-                    flight.progress = now_ms()
+                    self._hold_back(flight, upstream)
             elif isinstance(event, h11.EndOfMessage):
-                self._whole(flight, number, upstream)
-                return
+                self._whole(flight, upstream)
             elif isinstance(event, h11.ConnectionClosed):
-                self._failed(flight, number, Ending.CLOSED)
-                return
+                self._failed(flight, Ending.CLOSED)
 
-    def _whole(self, flight: Flight, number: int, upstream: Upstream) -> None:
+    def _hold_back(self, flight: Flight, upstream: Upstream) -> None:
+        """The server is read no faster than the client reads."""
+        if upstream.paused or flight.client.writer.transport.get_write_buffer_size() <= PASS_BYTES:
+            return
+        upstream.paused = True
+        upstream.writer.transport.pause_reading()  # type: ignore[attr-defined]  # of a transport both ways
+        task = self.loop.create_task(self._resume(flight, upstream))
+        self._resuming.add(task)
+        task.add_done_callback(self._resuming.discard)
+
+    async def _resume(self, flight: Flight, upstream: Upstream) -> None:
+        with suppress(ConnectionError, OSError):
+            await flight.client.writer.drain()
+        upstream.paused = False
+        flight.progress = now_ms()
+        if flight.upstream is upstream and not upstream.writer.transport.is_closing():
+            upstream.writer.transport.resume_reading()  # type: ignore[attr-defined]
+
+    def _whole(self, flight: Flight, upstream: Upstream) -> None:
         """The answer is whole: the connection goes back to the pool, the client has its end."""
-        client = flight.client
-        flight.upstream = flight.task = None
-        passing = flight.passing
+        client, passing = flight.client, flight.passing
+        upstream.reader.sink = None
+        task, flight.task, flight.upstream = flight.task, None, None
+        if task is not None:
+            task.cancel()
         if passing and not client.writer.transport.is_closing():
             with suppress(h11.LocalProtocolError):
                 client.writer.write(client.h11.send(h11.EndOfMessage()) or b"")
-        if upstream.h11.our_state is h11.DONE:
+        if upstream.h11.our_state is h11.DONE and not upstream.paused:
             self.pool.put(upstream, now_ms())
         else:
             self.pool.drop(upstream)  # an early answer: the rest of the body is not written
-        self.act(ev.AnswerWhole(flight.ticket, number))
+        self.act(ev.AnswerWhole(flight.ticket, flight.number))
         if passing:
             flight.finish()
         if flight.done.done():
--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -8,35 +8,50 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 import h11
 
 Lost = Callable[[], None]
+Sink = Callable[[bytes], None]
 Accepted = Callable[["WatchedReader", asyncio.StreamWriter, "WatchedProtocol"], None]
 
 
 class WatchedReader(asyncio.StreamReader):
-    """A stream reader that remembers whether anything came since it was last asked."""
+    """A stream reader that remembers whether anything came since it was last asked, and can hand on what comes at
+    once: a task that waits for it costs more than all that is done with a short answer."""
 
     def __init__(self, limit: int) -> None:
         super().__init__(limit=limit)
         self.touched = False  # bytes or an end have come
+        self.ended = False
+        self.sink: Sink | None = None  # takes the bytes in place of the buffer; none at the end
 
     def feed_data(self, data: Any) -> None:
         """Bytes from the transport."""
         self.touched = True
-        super().feed_data(data)
+        if self.sink is not None:
+            self.sink(bytes(data))
+        else:
+            super().feed_data(data)
 
     def feed_eof(self) -> None:
         """The other side has closed its half."""
         self.touched = True
         super().feed_eof()
+        self._end()
 
     def set_exception(self, exc: Exception) -> None:
         """The connection is lost."""
         self.touched = True
         super().set_exception(exc)
+        self._end()
+
+    def _end(self) -> None:
+        if not self.ended:
+            self.ended = True
+            if self.sink is not None:
+                self.sink(b"")
 
 
 class WatchedProtocol(asyncio.StreamReaderProtocol):
@@ -71,20 +86,22 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The connection is there."""
         super().connection_made(transport)
-        assert isinstance(transport, asyncio.Transport)
-        writer = asyncio.StreamWriter(transport, self, self._watched, asyncio.get_running_loop())
+        # Not every loop's transports are asyncio's by class: uvloop's only behave alike.
+        made = cast(asyncio.WriteTransport, transport)
+        writer = asyncio.StreamWriter(made, self, self._watched, asyncio.get_running_loop())
         self._accepted(self._watched, writer, self)
 
 
 class Upstream:
     """One connection to a server."""
 
-    __slots__ = ("address", "h11", "idle_since", "reader", "writer")
+    __slots__ = ("address", "h11", "idle_since", "paused", "reader", "writer")
 
     def __init__(self, address: tuple[str, int], reader: WatchedReader, writer: asyncio.StreamWriter) -> None:
         self.address, self.reader, self.writer = address, reader, writer
         self.h11 = h11.Connection(h11.CLIENT)
         self.idle_since = 0.0
+        self.paused = False  # reading stands still for a slow client
 
     @property
     def sound(self) -> bool:
--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -21,7 +21,6 @@
 DOOR_TROUBLES = (pb.DOOR_KILLED, pb.DOOR_ROLLED, pb.DOOR_CUT_FROM_FEED)
 STORE_TROUBLES = (pb.STORE_PAUSED, pb.STORE_EMPTIED, pb.STORE_SLOW, pb.STORE_DOWN)
 FEED_TROUBLES = (pb.FEED_STALE, pb.FEED_PARTIAL, pb.FEED_DOWN)
-FIRST_DOOR_SHARE = 0.6  # of a customer's tries take the first of its doors: traffic is uneven
 LEAVES_BY = 0.1  # parts of the aim: a client that leaves does so while its request is on its way
 KINDS = ("standard", "slow")
 LONGEST_MS = 30 * 60_000.0
@@ -87,7 +86,8 @@
     for phase, at in zip(day.phase, root.all("phase"), strict=True):
         check.above_zero(phase, at, "for_ms")
         check.number(phase, at, "rate", 0, 100_000)
-        check.number(phase, at, "hot_share", 0, 1)
+        for name in ("hot_share", "shift_share", "first_door_share"):
+            check.number(phase, at, name, 0, 1)
         if phase.only_plan:
             check.known(phase, at, "only_plan", plan_names, "plan")
         if phase.hot_share and not phase.only_plan:
@@ -257,7 +257,9 @@
             work = rng.choices(works, [entry.share for entry in works])[0]
             cls = classes[getattr(work, "class")]
             doors = list(customer.doors)
-            if rng.random() >= FIRST_DOOR_SHARE:
+            if random.Random(customer.key).random() < phase.shift_share:
+                doors = doors[1:] + doors[:1]
+            if rng.random() >= phase.first_door_share:
                 rng.shuffle(doors)
             clients = day.clients
             patience = cls.deadline_ms * rng.uniform(clients.least_patience, clients.most_patience)
--- a/martenstep/members/feed.py
+++ b/martenstep/members/feed.py
@@ -28,7 +28,7 @@
 from martenstep.interface import Scope, Server, State
 from martenstep.members.lists import Listed
 
-AGAIN_LEAST_MS, AGAIN_MOST_MS = 100.0, 5000.0  # between polls that fail: doubled each time, drawn by chance
+AGAIN_LEAST_MS, AGAIN_MOST_MS = 100.0, 2000.0  # between polls that fail: doubled each time, drawn by chance
 LATE_MS = 5000.0  # a poll that is not answered so long after its wait has failed
 ANSWER_BYTES = 16 << 20  # of one answer at most
 
--- a/martenstep/standins/feed.py
+++ b/martenstep/standins/feed.py
@@ -154,6 +154,8 @@
                     await self._news.wait()
             except TimeoutError:
                 break
+        if writer.transport.is_closing():
+            return  # dropped while it waited: nothing is told
         if index and self._stale:
             scope, servers, told = "changes", list[dict[str, Any]](), index
         else:
