--- a/martenstep/config/generate.py
+++ b/martenstep/config/generate.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
-SCHEMAS = ("martenstep/config/door.proto", "martenstep/lab/day.proto")
+SCHEMAS = ("martenstep/config/door.proto", "martenstep/lab/day.proto", "martenstep/counter/counter.proto")
 
 
 def generate(out: Path) -> list[Path]:
--- /dev/null
+++ b/martenstep/counter/files.py
@@ -0,0 +1,123 @@
+"""The few file operations that the log rests on, so that a test can own what survives a crash.
+
+`Disk` is the operating system's; the fault-injecting one of the tests keeps what was written but not synced apart, and
+after a crash gives back any part of it.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from pathlib import Path
+from typing import Protocol
+
+
+class Appender(Protocol):
+    """A file that is only added to."""
+
+    def write(self, data: bytes) -> None:
+        """Add bytes; they survive a crash only once synced."""
+
+    def sync(self) -> None:
+        """Make all bytes so far durable; raises OSError."""
+
+    def close(self) -> None:
+        """Close it."""
+
+
+class Files(Protocol):
+    """One directory."""
+
+    def names(self) -> list[str]:
+        """The files in it."""
+
+    def read(self, name: str) -> bytes:
+        """A whole file."""
+
+    def create(self, name: str) -> Appender:
+        """A new file; raises FileExistsError."""
+
+    def append(self, name: str, size: int) -> Appender:
+        """An old file, cut to a size."""
+
+    def write_aside(self, name: str, data: bytes) -> None:
+        """A whole file, durable under its name or not there at all."""
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+
+
+class _DiskAppender:
+    def __init__(self, number: int) -> None:
+        self._number = number
+
+    def write(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self._number, view):]
+
+    def sync(self) -> None:
+        os.fdatasync(self._number)
+
+    def close(self) -> None:
+        os.close(self._number)
+
+
+class LockedError(Exception):
+    """Another process holds the directory."""
+
+
+class Disk:
+    """A directory of the operating system, held by one process at a time."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        path.mkdir(parents=True, exist_ok=True)
+        self._lock = os.open(path / "lock", os.O_RDWR | os.O_CREAT, 0o644)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self._lock)
+            raise LockedError(f"{path}: another process holds it") from None
+
+    def close(self) -> None:
+        """Let the directory go."""
+        os.close(self._lock)
+
+    def _sync_directory(self) -> None:
+        number = os.open(self._path, os.O_RDONLY)
+        try:
+            os.fsync(number)
+        finally:
+            os.close(number)
+
+    def names(self) -> list[str]:
+        return sorted(name for name in os.listdir(self._path) if name != "lock")
+
+    def read(self, name: str) -> bytes:
+        return (self._path / name).read_bytes()
+
+    def create(self, name: str) -> Appender:
+        number = os.open(self._path / name, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND, 0o644)
+        self._sync_directory()
+        return _DiskAppender(number)
+
+    def append(self, name: str, size: int) -> Appender:
+        number = os.open(self._path / name, os.O_WRONLY | os.O_APPEND)
+        os.ftruncate(number, size)
+        os.fsync(number)
+        return _DiskAppender(number)
+
+    def write_aside(self, name: str, data: bytes) -> None:
+        aside = self._path / f"{name}.aside"
+        number = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
+        try:
+            _DiskAppender(number).write(data)
+            os.fsync(number)
+        finally:
+            os.close(number)
+        os.replace(aside, self._path / name)
+        self._sync_directory()
+
+    def remove(self, name: str) -> None:
+        os.unlink(self._path / name)
--- /dev/null
+++ b/martenstep/counter/frames.py
@@ -0,0 +1,260 @@
+"""The counter's protocol, version 1, without sockets.  All numbers are big-endian.
+
+Frame: `u32 length` of the payload (1 to 65,536), `u32 crc32c` of the payload, payload.  The payload's first byte is its
+kind.  Strings are `u16 length` and UTF-8.  A connection begins with HELLO and its answer; then commands and replies,
+pipelined: replies come in the order of the commands.
+
+| kind | name | payload after the kind |
+| --- | --- | --- |
+| 0x01 | HELLO | u16 version, u32 map version, u64 epoch, string door |
+| 0x02 | ADD | u64 sequence, u64 name, f64 units, f64 expiry in ms when the name is new |
+| 0x03 | READ | u64 sequence, u64 name |
+| 0x04 | RECORD | u64 sequence, f64 time (Unix ms), f64 units, u8 beyond, strings request, customer, plan, class |
+| 0x81 | WELCOME | u16 version, u32 map version, u64 highest sequence known of this epoch |
+| 0x82 | TOTAL | u64 sequence, u8 status, f64 total |
+| 0x83 | STORED | u64 sequence, u8 status |
+| 0x84 | REFUSED | u8 status, string reason; the connection ends |
+
+Statuses are those of `Status`.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from enum import IntEnum
+
+import google_crc32c
+
+VERSION = 1
+MOST_BYTES = 65_536  # of a payload
+HEAD = struct.Struct(">II")
+_HELLO = struct.Struct(">BHIQ")
+_ADD = struct.Struct(">BQQdd")
+_READ = struct.Struct(">BQQ")
+_RECORD = struct.Struct(">BQddB")
+_WELCOME = struct.Struct(">BHIQ")
+_TOTAL = struct.Struct(">BQBd")
+_STORED = struct.Struct(">BQB")
+_REFUSED = struct.Struct(">BB")
+HELLO, ADD, READ, RECORD = 0x01, 0x02, 0x03, 0x04
+WELCOME, TOTAL, STORED, REFUSED = 0x81, 0x82, 0x83, 0x84
+crc32c = google_crc32c.value
+
+
+class Status(IntEnum):
+    """What became of a command."""
+
+    DONE = 0  # counted or recorded, now
+    REPEATED = 1  # was counted or recorded before under the same sequence; this is the first result
+    KNOWN = 2  # the try is recorded already, by another command: not once more
+    TOO_OLD = 3  # beyond the window in which repeats are known: whether it was counted is not known, and it is not now
+    REUSED = 4  # the sequence was used for another command: the door must take a new epoch
+    FENCED = 5  # the door's epoch is over: a later one was seen
+    FULL = 6  # a stated bound is reached: not counted
+    UNWRITTEN = 7  # the log cannot be written: not acknowledged, and it may or may not be there
+    VERSION = 8  # the protocol's version is not spoken here
+    MAP = 9  # the map of names to services is another: reload it
+    BAD = 10  # not a frame of this protocol
+
+
+class FrameError(Exception):
+    """Bytes that are no frame: the connection ends."""
+
+
+@dataclass(slots=True)
+class Hello:
+    """Who speaks: a door, and which of its lives."""
+
+    door: str
+    epoch: int
+    map_version: int = 1
+    version: int = VERSION
+
+
+@dataclass(slots=True)
+class Add:
+    """Add units to a name."""
+
+    sequence: int
+    name: int
+    units: float
+    expire_ms: float
+
+
+@dataclass(slots=True)
+class Read:
+    """Tell a name's total."""
+
+    sequence: int
+    name: int
+
+
+@dataclass(slots=True)
+class Record:
+    """A try that was sent on."""
+
+    sequence: int
+    time_ms: float
+    units: float
+    beyond: bool
+    request: str
+    customer: str
+    plan: str
+    cls: str
+
+
+@dataclass(slots=True)
+class Welcome:
+    """The session is open."""
+
+    highest: int
+    map_version: int = 1
+    version: int = VERSION
+
+
+@dataclass(slots=True)
+class Total:
+    """Reply to Add and Read."""
+
+    sequence: int
+    status: Status
+    total: float
+
+
+@dataclass(slots=True)
+class Stored:
+    """Reply to Record."""
+
+    sequence: int
+    status: Status
+
+
+@dataclass(slots=True)
+class Refused:
+    """The connection ends, and why."""
+
+    status: Status
+    reason: str
+
+
+Command = Hello | Add | Read | Record
+Reply = Welcome | Total | Stored | Refused
+Frame = Command | Reply
+
+
+def framed(payload: bytes) -> bytes:
+    """A payload with its head."""
+    return HEAD.pack(len(payload), crc32c(payload)) + payload
+
+
+def _strings(*texts: str) -> bytes:
+    parts = []
+    for text in texts:
+        data = text.encode()
+        if len(data) > 0xFFFF:
+            raise FrameError(f"a string of {len(data)} bytes")
+        parts.append(len(data).to_bytes(2, "big") + data)
+    return b"".join(parts)
+
+
+def _texts(payload: bytes, at: int, count: int) -> list[str]:
+    found = []
+    for _ in range(count):
+        size = int.from_bytes(payload[at : at + 2], "big")
+        at += 2
+        if len(payload) < at + size:
+            raise FrameError("a string is cut off")
+        found.append(payload[at : at + size].decode())
+        at += size
+    if at != len(payload):
+        raise FrameError(f"{len(payload) - at} bytes too many")
+    return found
+
+
+def encode(frame: Frame) -> bytes:
+    """A frame as bytes, head included; raises FrameError where it is too large."""
+    match frame:
+        case Add():
+            payload = _ADD.pack(ADD, frame.sequence, frame.name, frame.units, frame.expire_ms)
+        case Total():
+            payload = _TOTAL.pack(TOTAL, frame.sequence, frame.status, frame.total)
+        case Read():
+            payload = _READ.pack(READ, frame.sequence, frame.name)
+        case Record():
+            payload = _RECORD.pack(RECORD, frame.sequence, frame.time_ms, frame.units, frame.beyond)
+            payload += _strings(frame.request, frame.customer, frame.plan, frame.cls)
+        case Stored():
+            payload = _STORED.pack(STORED, frame.sequence, frame.status)
+        case Hello():
+            payload = _HELLO.pack(HELLO, frame.version, frame.map_version, frame.epoch) + _strings(frame.door)
+        case Welcome():
+            payload = _WELCOME.pack(WELCOME, frame.version, frame.map_version, frame.highest)
+        case Refused():
+            payload = _REFUSED.pack(REFUSED, frame.status) + _strings(frame.reason)
+    if len(payload) > MOST_BYTES:
+        raise FrameError(f"a frame of {len(payload)} bytes: {MOST_BYTES} are allowed")
+    return framed(payload)
+
+
+def decode(payload: bytes) -> Frame:
+    """A payload as a frame; raises FrameError."""
+    try:
+        kind = payload[0]
+        if kind == ADD:
+            return Add(*_ADD.unpack(payload)[1:])
+        if kind == TOTAL:
+            _, sequence, status, total = _TOTAL.unpack(payload)
+            return Total(sequence, Status(status), total)
+        if kind == READ:
+            return Read(*_READ.unpack(payload)[1:])
+        if kind == RECORD:
+            _, sequence, time_ms, units, beyond = _RECORD.unpack_from(payload)
+            return Record(sequence, time_ms, units, bool(beyond), *_texts(payload, _RECORD.size, 4))
+        if kind == STORED:
+            _, sequence, status = _STORED.unpack(payload)
+            return Stored(sequence, Status(status))
+        if kind == HELLO:
+            _, version, map_version, epoch = _HELLO.unpack_from(payload)
+            return Hello(_texts(payload, _HELLO.size, 1)[0], epoch, map_version, version)
+        if kind == WELCOME:
+            _, version, map_version, highest = _WELCOME.unpack(payload)
+            return Welcome(highest, map_version, version)
+        if kind == REFUSED:
+            return Refused(Status(_REFUSED.unpack_from(payload)[1]), _texts(payload, _REFUSED.size, 1)[0])
+    except (struct.error, ValueError, IndexError) as error:
+        raise FrameError(f"a frame that cannot be read: {error}") from None
+    raise FrameError(f"a frame of no known kind: {kind:#x}")
+
+
+class Frames:
+    """Takes bytes as they come and gives whole payloads, their checksums proven."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    @property
+    def partial(self) -> bool:
+        """Whether a frame has begun and is not whole."""
+        return bool(self._buffer)
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The payloads that are whole; raises FrameError on a bad length or checksum."""
+        buffer = self._buffer
+        buffer += data
+        found, at, size = [], 0, len(buffer)
+        while size - at >= 8:
+            length, check = HEAD.unpack_from(buffer, at)
+            if not 1 <= length <= MOST_BYTES:
+                raise FrameError(f"a frame of {length} bytes: 1 to {MOST_BYTES} are allowed")
+            end = at + 8 + length
+            if size < end:
+                break
+            payload = bytes(buffer[at + 8 : end])
+            if crc32c(payload) != check:
+                raise FrameError("a frame whose checksum does not fit")
+            found.append(payload)
+            at = end
+        if at:
+            del buffer[:at]
+        return found
--- /dev/null
+++ b/martenstep/counter/log.py
@@ -0,0 +1,296 @@
+"""The log: segments of records, each with its length and CRC32C; snapshots beside them.
+
+Segment `seg-<first record, 16 hex digits>.log`: a header of 32 bytes (`MSTEPLOG`, u32 version, u64 number of the first
+record, 8 bytes of zero, u32 CRC32C of the rest), then records: `u32 length, u32 crc32c, u64 number, u32 back, entry`.
+`back` is how many records stand between this one and the last sync before it: all with the same `number - back` were
+written since one sync.  The CRC covers number, back and entry.
+
+Snapshot `snap-<records in it, 16 hex digits>.snap`: `MSTEPSNP`, u32 version, u64 records, u32 CRC32C of the body, body.
+Written aside, synced, renamed.
+
+On open: the newest snapshot that is whole, then every record after it.  A crash may leave any part of what was written
+since the last sync, so in the *last* segment what follows the last whole record is cut off as a torn tail: it was never
+acknowledged.  It is only that, though, as long as no whole record behind it was written after a later sync; else, and
+in any earlier segment, it is damage, and is refused with file and offset.  So that this holds for the last group as
+well, a seal (an entry of one byte that says nothing) is written behind each sync.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import pairwise
+
+from martenstep.counter.files import Appender, Files
+from martenstep.counter.frames import crc32c
+
+MAGIC, SNAP_MAGIC, VERSION = b"MSTEPLOG", b"MSTEPSNP", 1
+HEADER = struct.Struct(">8sIQ8sI")
+SNAP_HEADER = struct.Struct(">8sIQI")
+RECORD = struct.Struct(">IIQI")
+MOST_ENTRY = 1 << 17  # of one record: a length above it is damage
+SEAL = b"\x04"
+_PLACE = struct.Struct(">QI")
+
+
+class LogError(Exception):
+    """Damage: which file, at which offset, and what."""
+
+    def __init__(self, file: str, offset: int, text: str) -> None:
+        self.file, self.offset, self.text = file, offset, text
+        super().__init__(f"{file} at byte {offset}: {text}")
+
+
+def check_of(number: int, back: int, entry: bytes) -> int:
+    """The checksum of a record: its place and its bytes."""
+    return int(crc32c(_PLACE.pack(number, back) + entry))
+
+
+def record(number: int, back: int, entry: bytes) -> bytes:
+    """One record as it stands in a segment."""
+    return RECORD.pack(len(entry), check_of(number, back, entry), number, back) + entry
+
+
+def header(first: int) -> bytes:
+    """A segment's header."""
+    head = HEADER.pack(MAGIC, VERSION, first, b"\0" * 8, 0)[:-4]
+    return head + struct.pack(">I", crc32c(head))
+
+
+def segment_name(first: int) -> str:
+    """The file of a segment."""
+    return f"seg-{first:016x}.log"
+
+
+def snapshot_name(records: int) -> str:
+    """The file of a snapshot."""
+    return f"snap-{records:016x}.snap"
+
+
+@dataclass(frozen=True, slots=True)
+class Segment:
+    """One segment and the number of its first record."""
+
+    name: str
+    first: int
+
+
+def segments(files: Files) -> list[Segment]:
+    """All segments, in order."""
+    return [Segment(name, int(name[4:20], 16)) for name in sorted(files.names())
+            if name.startswith("seg-") and name.endswith(".log")]
+
+
+def snapshots(files: Files) -> list[tuple[str, int]]:
+    """All snapshots, the newest first."""
+    return sorted(((name, int(name[5:21], 16)) for name in files.names()
+                   if name.startswith("snap-") and name.endswith(".snap")), key=lambda pair: -pair[1])
+
+
+def read_snapshot(files: Files, name: str) -> bytes:
+    """A snapshot's body; raises LogError."""
+    data = files.read(name)
+    if len(data) < SNAP_HEADER.size:
+        raise LogError(name, 0, "shorter than its header")
+    magic, version, _, check = SNAP_HEADER.unpack_from(data)
+    body = data[SNAP_HEADER.size:]
+    if magic != SNAP_MAGIC or version != VERSION:
+        raise LogError(name, 0, "not a snapshot of this version")
+    if crc32c(body) != check:
+        raise LogError(name, SNAP_HEADER.size, "the checksum does not fit")
+    return body
+
+
+def write_snapshot(files: Files, records: int, body: bytes) -> None:
+    """Keep a snapshot, whole or not at all."""
+    files.write_aside(snapshot_name(records), SNAP_HEADER.pack(SNAP_MAGIC, VERSION, records, crc32c(body)) + body)
+
+
+def _whole_at(data: bytes, at: int) -> tuple[int, int, bytes] | None:
+    """Number, back and entry of a record that is whole at a place; None where none is."""
+    if at + RECORD.size > len(data):
+        return None
+    length, check, number, back = RECORD.unpack_from(data, at)
+    end = at + RECORD.size + length
+    if not 1 <= length <= MOST_ENTRY or end > len(data):
+        return None
+    entry = data[at + RECORD.size : end]
+    return (number, back, entry) if check_of(number, back, entry) == check else None
+
+
+def _synced_behind(data: bytes, at: int, number: int) -> int | None:
+    """Where, behind a bad record, stands a whole one that was written after a later sync."""
+    size = len(data)
+    for place in range(at + 1, size - RECORD.size):
+        length = int.from_bytes(data[place : place + 4], "big")
+        if 1 <= length <= MOST_ENTRY and place + RECORD.size + length <= size:
+            found = _whole_at(data, place)
+            if found is not None and found[0] - found[1] > number:
+                return place
+    return None
+
+
+@dataclass(slots=True)
+class Scan:
+    """One segment read: its entries, and where the last whole record ends."""
+
+    segment: Segment
+    entries: list[bytes]
+    end: int
+    torn: bool  # something follows that is no record
+
+
+def scan(files: Files, segment: Segment, last: bool) -> Scan:
+    """Read a segment; raises LogError on damage."""
+    data = files.read(segment.name)
+    if len(data) < HEADER.size or data[: HEADER.size] != header(segment.first):
+        if last and len(data) <= HEADER.size:
+            return Scan(segment, [], 0, True)  # the crash came while it was being begun
+        raise LogError(segment.name, 0, "the header does not fit")
+    entries: list[bytes] = []
+    at, number, size = HEADER.size, segment.first, len(data)
+    while at < size:
+        found = _whole_at(data, at)
+        if found is None or found[0] != number:
+            if not last:
+                raise LogError(segment.name, at, f"record {number} is damaged")
+            behind = _synced_behind(data, at, number)
+            if behind is not None:
+                raise LogError(segment.name, at, f"record {number} is damaged, and later ones stand at byte {behind}")
+            return Scan(segment, entries, at, True)
+        entries.append(found[2])
+        at += RECORD.size + len(found[2])
+        number += 1
+    return Scan(segment, entries, at, False)
+
+
+@dataclass(slots=True)
+class Opened:
+    """What a log holds: a snapshot's body, the records after it, and where to go on writing."""
+
+    snapshot: bytes | None
+    start: int  # records in the snapshot
+    entries: Iterator[bytes]
+    count: int
+    tail: tuple[Segment, int] | None  # the last segment and its size up to the last whole record
+    cut: int  # bytes of a torn tail
+
+
+def open_log(files: Files) -> Opened:
+    """Read what a log holds; raises LogError on damage or a gap."""
+    body, start = None, 0
+    for name, records in snapshots(files):
+        try:
+            body, start = read_snapshot(files, name), records
+            break
+        except LogError:
+            continue  # an older one, or the whole log, tells the same
+    found = segments(files)
+    scans = []
+    reached = start
+    for index, segment in enumerate(found):
+        last = index == len(found) - 1
+        if not last and found[index + 1].first <= start:
+            continue  # whole in the snapshot
+        if segment.first > reached:
+            raise LogError(segment.name, 0, f"records {reached} to {segment.first - 1} are missing")
+        read = scan(files, segment, last)
+        end = segment.first + len(read.entries)
+        if not last and found[index + 1].first != end:
+            raise LogError(segment.name, read.end, f"ends at record {end}, the next segment begins at "
+                                                   f"{found[index + 1].first}")
+        scans.append(read)
+        reached = max(reached, end)
+
+    def entries() -> Iterator[bytes]:
+        for read in scans:
+            yield from read.entries[max(start - read.segment.first, 0):]
+
+    count = sum(len(read.entries) - max(start - read.segment.first, 0) for read in scans
+                if read.segment.first + len(read.entries) > start)
+    tail, cut = None, 0
+    if scans:
+        final = scans[-1]
+        if final.segment.first + len(final.entries) < start:
+            raise LogError(final.segment.name, final.end, f"ends before the snapshot's {start} records")
+        tail = final.segment, final.end
+        cut = len(files.read(final.segment.name)) - final.end if final.torn else 0
+    return Opened(body, start, entries(), count, tail, cut)
+
+
+class Writer:
+    """Adds records and makes them durable together."""
+
+    def __init__(self, files: Files, opened: Opened, segment_bytes: int) -> None:
+        self._files, self._segment_bytes = files, segment_bytes
+        self.next = opened.start + opened.count
+        self.synced = self.next  # records that are durable: a seal behind them may still be lost
+        self._file: Appender | None = None
+        self._size = 0
+        if opened.tail is not None:
+            segment, end = opened.tail
+            if end >= HEADER.size:
+                self._file, self._size = files.append(segment.name, end), end
+            else:
+                files.remove(segment.name)
+        if self._file is None:
+            self._begin()
+
+    def _begin(self) -> None:
+        if self._file is not None:
+            self._file.close()
+        self._file = self._files.create(segment_name(self.next))
+        data = header(self.next)
+        self._file.write(data)
+        self._file.sync()
+        self._size = len(data)
+
+    def write(self, entries: list[bytes], durable: bool) -> None:
+        """Add entries; durable once this returns.  Raises OSError: then nothing more may be written."""
+        assert self._file is not None
+        first, back = self.next, self.next - self.synced
+        data = b"".join([record(first + index, back + index, entry) for index, entry in enumerate(entries)])
+        self._file.write(data)
+        self.next += len(entries)
+        self._size += len(data)
+        full = self._size >= self._segment_bytes
+        if durable or full:
+            self._file.sync()
+            self.synced = self.next
+        if full:
+            self._begin()
+        elif durable:
+            self._file.write(record(self.next, 0, SEAL))
+            self.next += 1
+            self._size += RECORD.size + len(SEAL)
+
+    def sync(self) -> None:
+        """Make all that was written durable; raises OSError."""
+        assert self._file is not None
+        if self.synced < self.next:
+            self._file.sync()
+            self.synced = self.next
+
+    def close(self) -> None:
+        """Make the rest durable and close."""
+        if self._file is not None:
+            self._file.sync()
+            self._file.close()
+            self._file = None
+
+
+def compact(files: Files, keep_from: int) -> list[str]:
+    """Remove segments that lie before the first record to be kept and are whole in both of the two newest snapshots
+    (the older stands in where the newer is damaged), and all older snapshots; gives their names."""
+    kept = snapshots(files)
+    found, gone = segments(files), []
+    before = kept[1][1] if len(kept) > 1 else 0
+    for segment, after in pairwise(found):
+        if after.first <= min(before, keep_from):
+            files.remove(segment.name)
+            gone.append(segment.name)
+    for name, _ in snapshots(files)[2:]:
+        files.remove(name)
+        gone.append(name)
+    return gone
--- /dev/null
+++ b/martenstep/counter/state.py
@@ -0,0 +1,360 @@
+"""The counter's state machine: commands and the time in, replies and log entries out.  No clock, no file, no socket.
+
+The log holds what was done, not what was asked: an entry carries all that is needed to do it again, and `apply` is the
+only place where state changes, live and on rebuild alike.  So the state after a restart is the state before it.
+
+Repeats: each command carries its door, the door's epoch and a sequence.  The results of the last `window` sequences of
+a door's present epoch are kept, with a digest of the command: the same command again gets the first result, another
+command under the same sequence is told so, and one from before the window is told that it is too old to be known.  A
+later epoch ends the earlier one.
+
+Tries: one with a request id that is known is not recorded once more.  Ids are known for `try_window_ms` after the try's
+own time; a try older than that is refused, so that nothing forgotten can come in twice.
+"""
+
+from __future__ import annotations
+
+import math
+import struct
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import xxhash
+
+from martenstep.counter.frames import Add, FrameError, Read, Record, Reply, Status, Stored, Total
+
+ENTRY_ADD, ENTRY_TRY, ENTRY_DOOR = 1, 2, 3  # 4 is the log's seal, which says nothing
+_ADD = struct.Struct(">BdIQQdd")  # kind, time, door, sequence, name, units, expiry
+_TRY = struct.Struct(">BdIQddBBHHHH")  # kind, time, door, sequence, try's time, units, beyond, known, lengths
+_DOOR = struct.Struct(">BdIQH")  # kind, time, number, epoch, length
+AHEAD_MS = 60_000.0  # a try's time may lie so far ahead of the service's: clocks differ
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Stated bounds."""
+
+    window: int = 8192
+    try_window_ms: float = 600_000.0
+    max_tries: int = 5_000_000
+    max_names: int = 5_000_000
+    period_ms: float = 3_600_000.0
+
+
+@dataclass(slots=True)
+class Door:
+    """What is kept of one door."""
+
+    number: int
+    name: str
+    epoch: int
+    highest: int = 0
+    results: dict[int, tuple[int, float]] = field(default_factory=dict)  # by sequence: digest, and total or status
+
+
+@dataclass(slots=True)
+class Use:
+    """Totals of one customer and plan in one period."""
+
+    tries: int = 0
+    units: float = 0.0
+    beyond: float = 0.0
+
+
+class _Snapshot(msgspec.Struct):
+    now: float
+    names: list[tuple[int, float, float]]
+    doors: list[tuple[int, str, int, int, list[tuple[int, int, float]]]]
+    tries: list[tuple[bytes, float]]
+    uses: list[tuple[str, str, int, int, float, float]]
+    applied: int
+
+
+def digest_of(*words: Any) -> int:
+    """Tells commands under one sequence apart."""
+    return xxhash.xxh64_intdigest(repr(words).encode())
+
+
+def try_key(request: str) -> bytes:
+    """What is kept of a request's id: 16 bytes, whatever its length."""
+    return xxhash.xxh128_digest(request.encode())
+
+
+class Counter:
+    """All counts, doors and known tries."""
+
+    def __init__(self, limits: Limits) -> None:
+        self._limits = limits
+        self.now = 0.0  # the service's time, Unix ms: never goes back, whatever the clock does
+        self._names: dict[int, tuple[float, float]] = {}  # total, and when it is forgotten
+        self._expiries: deque[tuple[float, int]] = deque()  # in order of being made, roughly in order of time
+        self._doors: dict[str, Door] = {}
+        self._by_number: list[Door] = []
+        self._tries: OrderedDict[bytes, float] = OrderedDict()
+        self._horizon = -math.inf  # tries before this are too old: ids from before it were let go
+        self._uses: dict[tuple[str, str, int], Use] = {}
+        self.applied = 0  # entries so far
+
+    # Commands -------------------------------------------------------------------------------------------
+
+    def clock(self, unix_ms: float) -> None:
+        """Let the time come on.  A clock that went back stands still here until it has caught up."""
+        self.now = max(self.now, unix_ms)
+
+    def hello(self, name: str, epoch: int) -> tuple[Door | None, bytes | None]:
+        """A door begins a session: the door, or None where its epoch is over; and the entry to log, if any."""
+        door = self._doors.get(name)
+        if door is not None and epoch < door.epoch:
+            return None, None
+        if door is not None and epoch == door.epoch:
+            return door, None
+        number = door.number if door else len(self._by_number)
+        data = name.encode()
+        entry = _DOOR.pack(ENTRY_DOOR, self.now, number, epoch, len(data)) + data
+        self.apply(entry)
+        return self._doors[name], entry
+
+    def command(self, door: Door, epoch: int, command: Add | Read | Record) -> tuple[Reply, bytes | None]:
+        """One command: its reply, to be sent once the entry, if any, is durable."""
+        if isinstance(command, Read):
+            return Total(command.sequence, Status.DONE, self.total(command.name)), None
+        if epoch != door.epoch:
+            return _failed(command, Status.FENCED), None
+        sequence = command.sequence
+        if isinstance(command, Add):
+            digest = digest_of(command.name, command.units, command.expire_ms)
+        else:
+            digest = digest_of(command.request, command.customer, command.plan, command.cls, command.units,
+                               command.beyond, command.time_ms)
+        before = door.results.get(sequence)
+        if before is not None:
+            if before[0] != digest:
+                return _failed(command, Status.REUSED), None
+            if isinstance(command, Add):
+                return Total(sequence, Status.REPEATED, before[1]), None
+            return Stored(sequence, Status.KNOWN if before[1] else Status.REPEATED), None
+        if sequence <= door.highest - self._limits.window:
+            return _failed(command, Status.TOO_OLD), None
+        if isinstance(command, Add):
+            return self._add(door, command)
+        return self._record(door, command)
+
+    def _add(self, door: Door, command: Add) -> tuple[Reply, bytes | None]:
+        if not (math.isfinite(command.units) and 0 < command.expire_ms < math.inf):
+            return _failed(command, Status.BAD), None
+        if self._live(command.name) is None and len(self._names) >= self._limits.max_names:
+            self._sweep()
+            if len(self._names) >= self._limits.max_names:
+                return _failed(command, Status.FULL), None
+        entry = _ADD.pack(ENTRY_ADD, self.now, door.number, command.sequence, command.name, command.units,
+                          command.expire_ms)
+        self.apply(entry)
+        return Total(command.sequence, Status.DONE, door.results[command.sequence][1]), entry
+
+    def _record(self, door: Door, command: Record) -> tuple[Reply, bytes | None]:
+        if not (math.isfinite(command.time_ms) and math.isfinite(command.units)):
+            return _failed(command, Status.BAD), None
+        oldest = max(self._horizon, self.now - self._limits.try_window_ms)
+        if command.time_ms < oldest or command.time_ms > self.now + AHEAD_MS:
+            return _failed(command, Status.TOO_OLD if command.time_ms < oldest else Status.BAD), None
+        known = try_key(command.request) in self._tries
+        if not known and len(self._tries) >= self._limits.max_tries:
+            self._forget_tries()
+            if len(self._tries) >= self._limits.max_tries:
+                return _failed(command, Status.FULL), None
+        texts = [text.encode() for text in (command.request, command.customer, command.plan, command.cls)]
+        if sum(map(len, texts)) > 0xFFFF:
+            raise FrameError("a try whose words are too long")
+        entry = _TRY.pack(ENTRY_TRY, self.now, door.number, command.sequence, command.time_ms, command.units,
+                          command.beyond, known, *map(len, texts)) + b"".join(texts)
+        self.apply(entry)
+        return Stored(command.sequence, Status.KNOWN if known else Status.DONE), entry
+
+    # Entries --------------------------------------------------------------------------------------------
+
+    def apply(self, entry: bytes) -> None:
+        """Do what an entry says: live, just before it is written, and on rebuild."""
+        kind = entry[0]
+        self.applied += 1
+        if kind == ENTRY_ADD:
+            _, now, number, sequence, name, units, expire_ms = _ADD.unpack(entry)
+            self.now = max(self.now, now)
+            live = self._live(name)
+            total = units + (live[0] if live else 0.0)
+            expires = live[1] if live else now + expire_ms
+            self._names[name] = total, expires
+            if live is None:
+                self._expiries.append((expires, name))
+                self._expire()
+            door = self._by_number[number]
+            self._remember(door, sequence, digest_of(name, units, expire_ms), total)
+        elif kind == ENTRY_TRY:
+            told = read_try(entry)
+            self.now = max(self.now, told.at)
+            door = self._by_number[told.door]
+            digest = digest_of(told.request, told.customer, told.plan, told.cls, told.units, told.beyond, told.time_ms)
+            self._remember(door, told.sequence, digest, float(told.known))
+            if not told.known:
+                self._tries[try_key(told.request)] = told.time_ms
+                use = self._uses.setdefault((told.customer, told.plan, int(told.time_ms // self._limits.period_ms)),
+                                            Use())
+                use.tries += 1
+                use.units += told.units
+                use.beyond += told.units if told.beyond else 0.0
+            self._forget_tries()
+        elif kind == ENTRY_DOOR:
+            _, now, number, epoch, size = _DOOR.unpack_from(entry)
+            self.now = max(self.now, now)
+            name = entry[_DOOR.size : _DOOR.size + size].decode()
+            fresh = Door(number, name, epoch)
+            self._doors[name] = fresh
+            if number < len(self._by_number):
+                self._by_number[number] = fresh
+            else:
+                self._by_number.append(fresh)
+
+    def _remember(self, door: Door, sequence: int, digest: int, result: float) -> None:
+        door.results[sequence] = digest, result
+        if sequence > door.highest:
+            old, door.highest = door.highest, sequence
+            window = self._limits.window
+            if sequence - old > window:
+                floor = sequence - window
+                door.results = {key: value for key, value in door.results.items() if key > floor}
+            else:
+                for gone in range(old - window + 1, sequence - window + 1):
+                    door.results.pop(gone, None)
+
+    def _live(self, name: int) -> tuple[float, float] | None:
+        found = self._names.get(name)
+        return found if found is not None and found[1] > self.now else None
+
+    def _expire(self) -> None:
+        """Let go of names whose time is over, as far as they stand at the front."""
+        while self._expiries and self._expiries[0][0] <= self.now:
+            expires, name = self._expiries.popleft()
+            found = self._names.get(name)
+            if found is not None and found[1] == expires:
+                del self._names[name]
+
+    def _sweep(self) -> None:
+        """Let go of all names whose time is over."""
+        self._names = {name: found for name, found in self._names.items() if found[1] > self.now}
+        self._expiries = deque(sorted((found[1], name) for name, found in self._names.items()))
+
+    def _forget_tries(self) -> None:
+        """Let go of ids that are older than the window; from then on such tries are too old."""
+        oldest = self.now - self._limits.try_window_ms
+        while self._tries:
+            key, time_ms = next(iter(self._tries.items()))
+            if time_ms >= oldest:
+                break
+            del self._tries[key]
+            self._horizon = max(self._horizon, oldest)
+
+    def door(self, name: str) -> Door:
+        """A door that has said hello; a later epoch replaces what was kept of it."""
+        return self._doors[name]
+
+    # Reading --------------------------------------------------------------------------------------------
+
+    def total(self, name: int) -> float:
+        """A name's total; 0 where it is not known."""
+        live = self._live(name)
+        return live[0] if live else 0.0
+
+    def uses(self) -> dict[tuple[str, str, int], Use]:
+        """Totals by customer, plan and period's number."""
+        return self._uses
+
+    @property
+    def sizes(self) -> dict[str, int]:
+        """How much is kept."""
+        return {"names": len(self._names), "doors": len(self._doors), "tries": len(self._tries),
+                "uses": len(self._uses), "applied": self.applied}
+
+    def snapshot(self) -> bytes:
+        """The whole state."""
+        self._sweep()
+        return msgspec.msgpack.encode(_Snapshot(
+            self.now, [(name, total, expires) for name, (total, expires) in sorted(self._names.items())],
+            [(door.number, door.name, door.epoch, door.highest,
+              [(key, digest, result) for key, (digest, result) in door.results.items()]) for door in self._by_number],
+            list(self._tries.items()),
+            [(*key, use.tries, use.units, use.beyond) for key, use in self._uses.items()], self.applied))
+
+    @classmethod
+    def restored(cls, limits: Limits, data: bytes) -> Counter:
+        """A state from its snapshot; raises msgspec.DecodeError."""
+        told = msgspec.msgpack.decode(data, type=_Snapshot)
+        made = cls(limits)
+        made.now, made.applied = told.now, told.applied
+        made._names = {name: (total, expires) for name, total, expires in told.names}
+        made._expiries = deque(sorted((expires, name) for name, _, expires in told.names))
+        for number, name, epoch, highest, results in told.doors:
+            door = Door(number, name, epoch, highest, {key: (digest, result) for key, digest, result in results})
+            made._doors[name] = door
+            made._by_number.append(door)
+        made._tries = OrderedDict(told.tries)
+        made._uses = {(customer, plan, period): Use(tries, units, beyond)
+                      for customer, plan, period, tries, units, beyond in told.uses}
+        made._horizon = told.now - limits.try_window_ms
+        return made
+
+
+@dataclass(slots=True)
+class AddEntry:
+    """One add as the log holds it."""
+
+    at: float
+    door: int
+    sequence: int
+    name: int
+    units: float
+    expire_ms: float
+
+
+def read_add(entry: bytes) -> AddEntry:
+    """An add's entry."""
+    return AddEntry(*_ADD.unpack(entry)[1:])
+
+
+def read_door(entry: bytes) -> tuple[float, int, int, str]:
+    """A door's entry: time, number, epoch, name."""
+    _, at, number, epoch, size = _DOOR.unpack_from(entry)
+    return at, number, epoch, entry[_DOOR.size : _DOOR.size + size].decode()
+
+
+@dataclass(slots=True)
+class TryEntry:
+    """One recorded try as the log holds it."""
+
+    at: float
+    door: int
+    sequence: int
+    time_ms: float
+    units: float
+    beyond: bool
+    known: bool
+    request: str
+    customer: str
+    plan: str
+    cls: str
+
+
+def read_try(entry: bytes) -> TryEntry:
+    """A try's entry."""
+    _, at, door, sequence, time_ms, units, beyond, known, *sizes = _TRY.unpack_from(entry)
+    texts, place = [], _TRY.size
+    for size in sizes:
+        texts.append(entry[place : place + size].decode())
+        place += size
+    return TryEntry(at, door, sequence, time_ms, units, bool(beyond), bool(known), *texts)
+
+
+def _failed(command: Add | Record, status: Status) -> Reply:
+    if isinstance(command, Add):
+        return Total(command.sequence, status, 0.0)
+    return Stored(command.sequence, status)
