--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -207,6 +207,128 @@
     click.echo(text_format.MessageToString(made), nl=False)
 
 
+@cli.group()
+def counter() -> None:
+    """The project's own counter service, and its log read back."""
+
+
+DIRECTORY = click.argument("directory", type=click.Path(path_type=Path, exists=True, file_okay=False))
+
+
+def _damage(error: Exception) -> NoReturn:
+    click.echo(str(error), err=True)
+    sys.exit(1)
+
+
+@counter.command("serve", epilog=_example("martenstep counter serve deploy/counter.example.txtpb"))
+@click.argument("file", type=FILE)
+def counter_serve(file: Path) -> None:
+    """Run a counter service with the settings in FILE until SIGTERM."""
+    from martenstep.counter import service
+    from martenstep.counter.files import LockedError
+    from martenstep.counter.log import LogError
+    from martenstep.counter.settings import load_service
+    try:
+        settings = load_service(file)
+    except Faults as error:
+        _told(error)
+    try:
+        sys.exit(asyncio.run(service.serve(settings)))
+    except (LogError, LockedError, OSError) as error:
+        _damage(error)
+
+
+@counter.command("verify", epilog=_example("martenstep counter verify /var/lib/martenstep/counter"))
+@DIRECTORY
+def counter_verify(directory: Path) -> None:
+    """Read all of a log; exit 1 at the first damage, with file and offset."""
+    from martenstep.counter import read
+    from martenstep.counter.files import LockedError
+    from martenstep.counter.log import LogError
+    try:
+        found = read.verify(directory)
+    except (LogError, LockedError, OSError) as error:
+        _damage(error)
+    click.echo(f"{found.records} records in {found.segments} segments, {found.snapshots} snapshots, all whole; "
+               f"{found.torn} bytes of a torn tail")
+
+
+@counter.command("repair", epilog=_example(
+    "martenstep counter repair /var/lib/martenstep/counter --file seg-0000000000000000.log --upto 123456"))
+@DIRECTORY
+@click.option("--file", "name", required=True, help="The segment that verify names.")
+@click.option("--upto", type=int, required=True, help="Offset that it is cut at.")
+def counter_repair(directory: Path, name: str, upto: int) -> None:
+    """Cut a damaged log.  What is cut may have been acknowledged: only with a backup at hand."""
+    from martenstep.counter import read
+    from martenstep.counter.files import LockedError
+    from martenstep.counter.log import LogError
+    try:
+        lost = read.repair(directory, name, upto)
+    except (LogError, LockedError, OSError) as error:
+        _damage(error)
+    click.echo(f"{lost} bytes are cut")
+
+
+PERIOD = click.option("--period-ms", type=float, default=3_600_000.0, help="As the service's settings have it.")
+
+
+@counter.command("rebuild", epilog=_example("martenstep counter rebuild /var/lib/martenstep/counter"))
+@DIRECTORY
+@PERIOD
+def counter_rebuild(directory: Path, period_ms: float) -> None:
+    """Rebuild the state from the log, and print the totals by customer, plan and period as JSON lines."""
+    from martenstep.counter import read
+    from martenstep.counter.files import LockedError
+    from martenstep.counter.log import LogError
+    from martenstep.counter.state import Limits
+    try:
+        made = read.rebuilt(directory, Limits(period_ms=period_ms))
+    except (LogError, LockedError, OSError) as error:
+        _damage(error)
+    for (customer, plan, period), use in sorted(made.uses().items()):
+        click.echo(msgspec.json.encode({"customer": customer, "plan": plan, "from_ms": period * period_ms,
+                                        "tries": use.tries, "units": use.units, "beyond": use.beyond}))
+    click.echo(msgspec.json.encode(made.sizes), err=True)
+
+
+def _export(directory: Path, customer: str | None, since: float | None, until: float | None) -> None:
+    from martenstep.counter import read
+    from martenstep.counter.files import LockedError
+    from martenstep.counter.log import LogError
+    try:
+        for door, told in read.each_try(directory, customer, float("-inf") if since is None else since,
+                                        float("inf") if until is None else until):
+            click.echo(msgspec.json.encode({
+                "time_ms": told.time_ms, "request": told.request, "customer": told.customer, "plan": told.plan,
+                "class": told.cls, "units": told.units, "beyond": told.beyond, "door": door}))
+    except (LogError, LockedError, OSError) as error:
+        _damage(error)
+
+
+SINCE = click.option("--from", "since", type=float, default=None, help="Unix ms.")
+UNTIL = click.option("--to", "until", type=float, default=None, help="Unix ms.")
+
+
+@counter.command("history", epilog=_example("martenstep counter history /var/lib/martenstep/counter ada --from 1.7e12"))
+@DIRECTORY
+@click.argument("customer")
+@SINCE
+@UNTIL
+def counter_history(directory: Path, customer: str, since: float | None, until: float | None) -> None:
+    """Print the recorded tries of CUSTOMER as JSON lines."""
+    _export(directory, customer, since, until)
+
+
+@counter.command("export", epilog=_example("martenstep counter export /var/lib/martenstep/counter > tries.jsonl"))
+@DIRECTORY
+@SINCE
+@UNTIL
+def counter_export(directory: Path, since: float | None, until: float | None) -> None:
+    """Print all recorded tries that the log keeps as JSON lines."""
+    _export(directory, None, since, until)
+
+
 class _Bar:
     """A progress bar on a terminal; nothing elsewhere."""
 
--- /dev/null
+++ b/martenstep/counter/client.py
@@ -0,0 +1,252 @@
+"""The door's side: adds and tries that count exactly once, through broken connections and the door's own restarts.
+
+Every command has a sequence in the door's present life (epoch).  Once written it is sent again after each reconnect
+until it is answered, so a time-out is no longer ambiguous for the counts: the module is told TIMEOUT, and the add
+counts once.  An add that was never written is dropped at its time-out, and the module is told that nothing was added.  The
+epoch is kept in a file and raised at each start.
+
+Tries go through a journal: a file that holds each one until it is acknowledged.  After a restart what is left in it is
+sent under the new epoch; the service knows a try by its request id, and records it once.  The journal is bounded: past
+the bound `record` gives False, and the door's log tells of the try instead.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from martenstep.counter.frames import (
+    Add,
+    Command,
+    FrameError,
+    Frames,
+    Hello,
+    Record,
+    Refused,
+    Reply,
+    Status,
+    Stored,
+    Total,
+    Welcome,
+    decode,
+    encode,
+)
+from martenstep.interface import Verdict
+
+AGAIN_LEAST_MS, AGAIN_MOST_MS = 20.0, 1000.0  # between attempts to connect
+READ_BYTES = 262_144
+FINAL = (Status.DONE, Status.REPEATED, Status.KNOWN, Status.TOO_OLD, Status.BAD, Status.REUSED)
+Answer = Callable[[int, Verdict, float], None]
+Note = Callable[[str, dict[str, object]], None]
+
+
+class Journal:
+    """Tries that were promised and are not acknowledged yet, and the door's epoch."""
+
+    def __init__(self, directory: Path, bound: int) -> None:
+        self._directory, self._bound = directory, bound
+        directory.mkdir(parents=True, exist_ok=True)
+        self.epoch = self._raise_epoch()
+        self.tries: OrderedDict[str, Record] = OrderedDict()
+        self._path = directory / "tries.jsonl"
+        self._read()
+        self._file = self._begin()
+        self._lines = len(self.tries)
+
+    def _raise_epoch(self) -> int:
+        path = self._directory / "epoch"
+        last = 0
+        with contextlib.suppress(FileNotFoundError, ValueError):
+            last = int(path.read_text())
+        # The clock makes it greater still: a disk restored from a backup would else give an epoch again.
+        epoch = max(last + 1, int(time.time() * 1000))
+        self._keep(path, f"{epoch}\n".encode())
+        return epoch
+
+    @staticmethod
+    def _keep(path: Path, data: bytes) -> None:
+        aside = path.with_name(path.name + ".new")
+        with aside.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(aside, path)
+
+    def _read(self) -> None:
+        try:
+            lines = self._path.read_bytes().split(b"\n")
+        except FileNotFoundError:
+            return
+        for line in lines:
+            with contextlib.suppress(msgspec.DecodeError):  # the last may be cut off by a kill
+                told = msgspec.json.decode(line)
+                if "done" in told:
+                    self.tries.pop(told["done"], None)
+                else:
+                    made = Record(**{**told, "sequence": 0})
+                    self.tries[made.request] = made
+
+    def _begin(self) -> int:
+        """Write what is left into a new file, and go on there."""
+        lines = [msgspec.json.encode(msgspec.to_builtins(made)) for made in self.tries.values()]
+        self._keep(self._path, b"".join(line + b"\n" for line in lines))
+        return os.open(self._path, os.O_WRONLY | os.O_APPEND)
+
+    def promise(self, made: Record) -> bool:
+        """Keep a try until it is acknowledged; False where the bound is reached."""
+        if len(self.tries) >= self._bound:
+            return False
+        self.tries[made.request] = made
+        os.write(self._file, msgspec.json.encode(msgspec.to_builtins(made)) + b"\n")
+        self._lines += 1
+        return True
+
+    def done(self, request: str) -> None:
+        """A try is acknowledged."""
+        if self.tries.pop(request, None) is None:
+            return
+        os.write(self._file, msgspec.json.encode({"done": request}) + b"\n")
+        self._lines += 1
+        if self._lines > 4 * self._bound:
+            os.close(self._file)
+            self._file = self._begin()
+            self._lines = len(self.tries)
+
+    def close(self) -> None:
+        """Close the file."""
+        os.close(self._file)
+
+
+class CounterClient:
+    """A store port over one counter service."""
+
+    def __init__(self, host: str, port: int, door: str, journal: Journal, answer: Answer, note: Note, *,
+                 timeout_ms: float = 50.0, waiting: int = 10_000, map_version: int = 1) -> None:
+        self._host, self._port, self._door = host, port, door
+        self._journal, self._answer, self._note = journal, answer, note
+        self._timeout, self._bound, self._map_version = timeout_ms / 1000, waiting, map_version
+        self._sequence = 0
+        self._out: OrderedDict[int, Command] = OrderedDict()  # unanswered, in order of sequence
+        self._calls: dict[int, int] = {}  # adds: the module's call by sequence, until its time-out
+        self._writer: asyncio.StreamWriter | None = None
+        self._ready = False
+        self._task: asyncio.Task[None] | None = None
+        self._written: set[int] = set()  # of the unanswered: those that may have come through
+        self.sent_again = 0
+
+    def start(self) -> None:
+        """Connect, and send what an earlier life had promised."""
+        self._task = asyncio.create_task(self._run())
+        for made in list(self._journal.tries.values()):
+            self._queue_record(made)
+
+    async def stop(self) -> None:
+        """Close; what is not acknowledged stays in the journal."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._calls.clear()
+        self._journal.close()
+
+    @property
+    def unanswered(self) -> int:
+        """Commands that wait for their answer."""
+        return len(self._out)
+
+    def add(self, call: int, name: int, units: float, expire_ms: float) -> None:
+        """Ask for one add; `answer` is called once for it, within the time-out."""
+        if len(self._out) >= self._bound:
+            self._answer(call, Verdict.FULL, 0.0)
+            return
+        sequence = self._next()
+        self._calls[sequence] = call
+        asyncio.get_running_loop().call_later(self._timeout, self._late, sequence)
+        self._send(sequence, Add(sequence, name, units, expire_ms))
+
+    def _late(self, sequence: int) -> None:
+        call = self._calls.pop(sequence, None)
+        if call is None:
+            return
+        if sequence in self._written:
+            self._answer(call, Verdict.TIMEOUT, 0.0)
+        else:
+            self._out.pop(sequence, None)
+            self._answer(call, Verdict.CONNECT_FAILED, 0.0)
+
+    def record(self, time_ms: float, units: float, beyond: bool, request: str, customer: str, plan: str,
+               cls: str) -> bool:
+        """Promise a try; False where the journal is full, and nothing is promised."""
+        made = Record(0, time_ms, units, beyond, request, customer, plan, cls)
+        if not self._journal.promise(made):
+            return False
+        self._queue_record(made)
+        return True
+
+    def _queue_record(self, made: Record) -> None:
+        sequence = self._next()
+        self._send(sequence, Record(sequence, made.time_ms, made.units, made.beyond, made.request, made.customer,
+                                    made.plan, made.cls))
+
+    def _next(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _send(self, sequence: int, command: Command) -> None:
+        self._out[sequence] = command
+        if self._ready and self._writer is not None:
+            self._written.add(sequence)
+            self._writer.write(encode(command))
+
+    async def _run(self) -> None:
+        pause = AGAIN_LEAST_MS
+        while True:
+            try:
+                await self._connection()
+                pause = AGAIN_LEAST_MS
+            except (OSError, FrameError, asyncio.IncompleteReadError) as error:
+                self._note("counter lost", {"error": f"{type(error).__name__}: {error}"})
+            finally:
+                self._ready = False
+                if self._writer is not None:
+                    self._writer.close()
+                    self._writer = None
+            await asyncio.sleep(pause / 1000)
+            pause = min(pause * 2, AGAIN_MOST_MS)
+
+    async def _connection(self) -> None:
+        reader, writer = await asyncio.open_connection(self._host, self._port)
+        self._writer = writer
+        writer.write(encode(Hello(self._door, self._journal.epoch, self._map_version)))
+        frames = Frames()
+        while data := await reader.read(READ_BYTES):
+            for payload in frames.feed(data):
+                reply = decode(payload)
+                if isinstance(reply, Welcome):
+                    self._ready = True
+                    self.sent_again += len(self._written)
+                    self._written.update(self._out)
+                    writer.write(b"".join(encode(command) for command in self._out.values()))
+                elif isinstance(reply, Refused):
+                    raise FrameError(f"{reply.status.name}: {reply.reason}")
+                elif isinstance(reply, Total | Stored):
+                    self._take(reply)
+
+    def _take(self, reply: Reply) -> None:
+        assert isinstance(reply, Total | Stored)
+        if reply.status is Status.UNWRITTEN:
+            raise FrameError("the service cannot write its log")  # all is sent again once it can
+        command = self._out.pop(reply.sequence, None)
+        self._written.discard(reply.sequence)
+        if isinstance(command, Record) and reply.status in FINAL:
+            self._journal.done(command.request)
+        call = self._calls.pop(reply.sequence, None)
+        if isinstance(reply, Total) and call is not None:
+            good = reply.status in (Status.DONE, Status.REPEATED)
+            self._answer(call, Verdict.OK if good else Verdict.FULL, reply.total)
--- /dev/null
+++ b/martenstep/counter/service.py
@@ -0,0 +1,253 @@
+"""The counter on a socket: asyncio around the keeper, one thread that writes and syncs.
+
+Commands change the state as they come; a group is closed `commit_ms` after its first command, or sooner when
+`commit_records` wait, and goes to the writing thread while the next one gathers.  A connection whose reader is slow is
+cut off at a bound of unsent bytes; its commands stand, and are known by their sequence when it comes back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from collections import defaultdict
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+from martenstep.counter import counter_pb2 as pb
+from martenstep.counter.files import Disk
+from martenstep.counter.frames import (
+    VERSION,
+    Add,
+    FrameError,
+    Frames,
+    Hello,
+    Read,
+    Record,
+    Refused,
+    Reply,
+    Status,
+    Welcome,
+    decode,
+    encode,
+)
+from martenstep.counter.keeper import Keeper, Session
+from martenstep.counter.state import Limits
+
+SWEEP_S = 1.0  # how often half frames that hang are looked for
+
+
+def limits_of(service: pb.Service) -> Limits:
+    """The bounds that the settings state."""
+    return Limits(service.window, service.try_window_ms, service.max_tries, service.max_names, service.period_ms)
+
+
+def open_keeper(service: pb.Service) -> tuple[Keeper, Disk]:
+    """The keeper over the directory; raises LogError, LockedError or OSError."""
+    log = service.log
+    disk = Disk(Path(log.directory))
+    try:
+        keeper = Keeper(disk, limits_of(service), log.segment_bytes, log.durable, log.snapshot_records, log.keep_ms)
+    except BaseException:
+        disk.close()
+        raise
+    return keeper, disk
+
+
+class Connection(asyncio.Protocol):
+    """One door's connection."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+        self._frames = Frames()
+        self.session: Session | None = None
+        self.transport: asyncio.Transport | None = None
+        self.heard = time.monotonic()
+
+    @property
+    def hangs(self) -> bool:
+        """Whether a frame has begun and nothing more has come of it."""
+        return self._frames.partial
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        if not self._service.admit(self):
+            self.end(Status.FULL, "no more connections are taken")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self._service.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard = time.monotonic()
+        try:
+            for payload in self._frames.feed(data):
+                frame = decode(payload)
+                if isinstance(frame, Add | Read | Record):
+                    if self.session is None:
+                        raise FrameError("a command before HELLO")
+                    self._service.command(self, self.session, frame)
+                elif isinstance(frame, Hello) and self.session is None:
+                    if not self._hello(frame):
+                        return
+                else:
+                    raise FrameError(f"{type(frame).__name__} where a command was expected")
+        except FrameError as error:
+            self.end(Status.BAD, str(error))
+
+    def _hello(self, hello: Hello) -> bool:
+        service = self._service
+        if hello.version != VERSION:
+            self.end(Status.VERSION, f"version {hello.version} is not spoken here; {VERSION} is")
+        elif hello.map_version != service.settings.map_version:
+            self.end(Status.MAP, f"the map has version {service.settings.map_version}: reload it")
+        elif service.keeper.failed:
+            self.end(Status.UNWRITTEN, f"the log cannot be written: {service.keeper.failed}")
+        else:
+            self.session = service.hello(self, hello)
+            if self.session is None:
+                self.end(Status.FENCED, f"epoch {hello.epoch} of {hello.door} is over")
+        return self.session is not None
+
+    def send(self, data: bytes) -> None:
+        """Bytes to the door; a slow reader is cut off."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        transport.write(data)
+        if transport.get_write_buffer_size() > self._service.settings.unsent_bytes:
+            transport.abort()
+
+    def end(self, status: Status, reason: str) -> None:
+        """Say why, and close."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(encode(Refused(status, reason[:1000])))
+            self.transport.close()
+
+
+class Service:
+    """The counter as a server."""
+
+    def __init__(self, settings: pb.Service, keeper: Keeper) -> None:
+        self.settings, self.keeper = settings, keeper
+        self.connections: set[Connection] = set()
+        self.groups = 0
+        self._wake = asyncio.Event()
+        self._full = asyncio.Event()
+        self._writer = ThreadPoolExecutor(1, "log")
+        self._tasks: list[asyncio.Task[None]] = []
+        self._server: asyncio.Server | None = None
+
+    def admit(self, connection: Connection) -> bool:
+        """Whether one more connection is taken."""
+        if len(self.connections) >= self.settings.max_connections:
+            return False
+        self.connections.add(connection)
+        return True
+
+    def hello(self, connection: Connection, hello: Hello) -> Session | None:
+        """A door begins; WELCOME waits for its entry to be durable, as every reply does."""
+        self.keeper.counter.clock(time.time() * 1000)
+        session = self.keeper.hello(hello.door, hello.epoch)
+        if session is not None:
+            self.keeper.group.replies.append((connection, Welcome(session.door.highest, hello.map_version)))
+            self._wake.set()
+        return session
+
+    def command(self, connection: Connection, session: Session, frame: Add | Read | Record) -> None:
+        """One command."""
+        keeper = self.keeper
+        keeper.counter.clock(time.time() * 1000)
+        keeper.command(connection, session, frame)
+        if len(keeper.group.replies) >= self.settings.log.commit_records:
+            self._full.set()
+        self._wake.set()
+
+    async def start(self) -> int:
+        """Bind; gives the port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Connection(self), self.settings.host, self.settings.port)
+        self._tasks = [asyncio.create_task(self._commit()), asyncio.create_task(self._sweep())]
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def _commit(self) -> None:
+        """Close a group, write it, answer it; the next gathers meanwhile."""
+        loop, log = asyncio.get_running_loop(), self.settings.log
+        while True:
+            await self._wake.wait()
+            if log.commit_ms > 0 and not self._full.is_set():
+                try:
+                    async with asyncio.timeout(log.commit_ms / 1000):
+                        await self._full.wait()
+                except TimeoutError:
+                    pass
+            self._wake.clear()
+            self._full.clear()
+            group = self.keeper.take()
+            fault = ""
+            if group.entries:
+                fault = await loop.run_in_executor(self._writer, self.keeper.write, group)
+            self.groups += 1
+            self._answer(self.keeper.written(group, fault))
+            if self.keeper.snapshot_due() and not self.keeper.group.entries:
+                try:
+                    await loop.run_in_executor(self._writer, self.keeper.keep_snapshot, *self.keeper.snapshot())
+                except OSError as error:
+                    sys.stderr.write(json.dumps({"event": "snapshot not kept", "error": str(error)}) + "\n")
+
+    @staticmethod
+    def _answer(replies: list[tuple[Any, Reply]]) -> None:
+        by: defaultdict[Connection, list[bytes]] = defaultdict(list)
+        for connection, reply in replies:
+            by[connection].append(encode(reply))
+        for connection, parts in by.items():
+            connection.send(b"".join(parts))
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            late = time.monotonic() - self.settings.idle_ms / 1000
+            for connection in list(self.connections):
+                if connection.hangs and connection.heard < late:
+                    connection.end(Status.BAD, "half a frame, and nothing more")
+
+    async def stop(self) -> None:
+        """Accept no more, make durable what there is, answer it, close."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        loop = asyncio.get_running_loop()
+        group = self.keeper.take()
+        fault = await loop.run_in_executor(self._writer, self.keeper.write, group)
+        self._answer(self.keeper.written(group, fault))
+        for connection in list(self.connections):
+            if connection.transport is not None:
+                connection.transport.close()
+        await asyncio.sleep(0)
+        self.keeper.close()
+        self._writer.shutdown()
+
+
+async def serve(settings: pb.Service) -> int:
+    """Run until SIGTERM; gives the exit code.  Raises LogError, LockedError, OSError where it cannot start."""
+    keeper, disk = open_keeper(settings)
+    service = Service(settings, keeper)
+    try:
+        port = await service.start()
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        sys.stdout.write(json.dumps({"ready": {"port": port}, "pid": os.getpid(), "records": keeper.records,
+                                     "cut": keeper.cut}) + "\n")
+        sys.stdout.flush()
+        await stop.wait()
+        await service.stop()
+    finally:
+        disk.close()
+    return 0
--- /dev/null
+++ b/martenstep/counter/settings.py
@@ -0,0 +1,44 @@
+"""Loads the settings of a counter service and tells all that is wrong with them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from martenstep.config.settings import Checker, read_text
+from martenstep.config.text import Faults, Node, parse
+from martenstep.counter import counter_pb2 as pb
+
+LEAST_SEGMENT = 4096
+
+
+def check_service(check: Checker, service: pb.Service, root: Node) -> None:
+    """All of a service's settings."""
+    check.needed(service, root, "name")
+    check.port(service, root, any_free=True)
+    for name in ("window", "max_tries", "max_names", "max_connections"):
+        check.number(service, root, name, 1)
+    check.above_zero(service, root, "try_window_ms", "period_ms", "idle_ms")
+    check.number(service, root, "unsent_bytes", 4096)
+    node = root.at("log")
+    check.needed(service.log, node, "directory")
+    check.number(service.log, node, "segment_bytes", LEAST_SEGMENT)
+    check.number(service.log, node, "commit_ms", 0, 1000)
+    check.number(service.log, node, "commit_records", 1)
+    check.number(service.log, node, "keep_ms", 0)
+
+
+def parse_service(text: str, file: str) -> pb.Service:
+    """A service's settings from text; raises Faults with all that is wrong."""
+    service, root, faults = parse(text, pb.Service(), file)
+    if not faults:
+        check = Checker()
+        check_service(check, service, root)
+        faults = check.faults
+    if faults:
+        raise Faults(file, faults)
+    return service
+
+
+def load_service(path: Path) -> pb.Service:
+    """A service's settings from a file; raises Faults with all that is wrong."""
+    return parse_service(read_text(path), str(path))
