--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -171,6 +171,15 @@
         shortest = min((entry.deadline_ms for entry in getattr(door, "class") if entry.deadline_ms), default=math.inf)
         if door.store.timeout_ms >= shortest:
             check.fault(node.at("timeout_ms"), f"expected below the shortest deadline of {shortest:g}")
+    if door.HasField("counter"):
+        node = root.at("counter")
+        check.port(door.counter, node, any_free=False)
+        check.above_zero(door.counter, node, "timeout_ms")
+        check.needed(door.counter, node, "journal")
+        for name in ("waiting", "journal_tries"):
+            check.number(door.counter, node, name, 1)
+        if door.HasField("store"):
+            check.fault(node, "given beside store; only one of them may be")
     if door.HasField("members"):
         node = root.at("members")
         check.port(door.members, node, any_free=False)
@@ -272,7 +281,8 @@
         me=door.instance, gateways=door.instances, zone=door.zone, tick_ms=TICK_MS,
         classes=tuple(class_of(entry) for entry in getattr(door, "class")),
         plans=tuple(plan_of(entry) for entry in door.plan),
-        has_counter=door.HasField("store"), counter_timeout_ms=door.store.timeout_ms,
+        has_counter=door.HasField("store") or door.HasField("counter"),
+        counter_timeout_ms=door.counter.timeout_ms if door.HasField("counter") else door.store.timeout_ms,
         max_units=door.max_units, max_attempts=door.upstream.max_attempts, can_cancel=door.upstream.cancel,
         retry_after=True, max_retry_after_ms=door.max_retry_after_ms, must_subscribe=True,
         ask_within_ms=0.0, answer_slack_ms=rules.answer_slack_ms, cold_from=rules.cold_from,
--- a/martenstep/counter/client.py
+++ b/martenstep/counter/client.py
@@ -2,8 +2,8 @@
 
 Every command has a sequence in the door's present life (epoch).  Once written it is sent again after each reconnect
 until it is answered, so a time-out is no longer ambiguous for the counts: the module is told TIMEOUT, and the add
-counts once.  An add that was never written is dropped at its time-out, and the module is told that nothing was added.  The
-epoch is kept in a file and raised at each start.
+counts once.  An add that was never written is dropped at its time-out, and the module is told that nothing was added.
+The epoch is kept in a file and raised at each start.
 
 Tries go through a journal: a file that holds each one until it is acknowledged.  After a restart what is left in it is
 sent under the new epoch; the service knows a try by its request id, and records it once.  The journal is bounded: past
@@ -147,6 +147,13 @@
         for made in list(self._journal.tries.values()):
             self._queue_record(made)
 
+    async def flush(self, within_ms: float) -> bool:
+        """Wait until all is acknowledged; False where it was not in time."""
+        until = time.monotonic() + within_ms / 1000
+        while self._out and time.monotonic() < until:
+            await asyncio.sleep(0.005)
+        return not self._out
+
     async def stop(self) -> None:
         """Close; what is not acknowledged stays in the journal."""
         if self._task is not None:
--- a/martenstep/counter/log.py
+++ b/martenstep/counter/log.py
@@ -32,6 +32,7 @@
 MOST_ENTRY = 1 << 17  # of one record: a length above it is damage
 SEAL = b"\x04"
 _PLACE = struct.Struct(">QI")
+_CHECKED = struct.Struct(">II")
 
 
 class LogError(Exception):
@@ -42,14 +43,10 @@
         super().__init__(f"{file} at byte {offset}: {text}")
 
 
-def check_of(number: int, back: int, entry: bytes) -> int:
-    """The checksum of a record: its place and its bytes."""
-    return int(crc32c(_PLACE.pack(number, back) + entry))
-
-
 def record(number: int, back: int, entry: bytes) -> bytes:
-    """One record as it stands in a segment."""
-    return RECORD.pack(len(entry), check_of(number, back, entry), number, back) + entry
+    """One record as it stands in a segment; the checksum is of all that follows it."""
+    placed = _PLACE.pack(number, back) + entry
+    return _CHECKED.pack(len(entry), crc32c(placed)) + placed
 
 
 def header(first: int) -> bytes:
@@ -115,8 +112,9 @@
     end = at + RECORD.size + length
     if not 1 <= length <= MOST_ENTRY or end > len(data):
         return None
-    entry = data[at + RECORD.size : end]
-    return (number, back, entry) if check_of(number, back, entry) == check else None
+    if crc32c(data[at + _CHECKED.size : end]) != check:
+        return None
+    return number, back, data[at + RECORD.size : end]
 
 
 def _synced_behind(data: bytes, at: int, number: int) -> int | None:
@@ -150,6 +148,15 @@
         raise LogError(segment.name, 0, "the header does not fit")
     entries: list[bytes] = []
     at, number, size = HEADER.size, segment.first, len(data)
+    # The same test as _whole_at's, in line: a restart reads millions of them.
+    unpack, least, most, begin, body = RECORD.unpack_from, RECORD.size, MOST_ENTRY, _CHECKED.size, RECORD.size
+    while at + least <= size:
+        length, check, told, _ = unpack(data, at)
+        end = at + body + length
+        if told != number or not 1 <= length <= most or end > size or crc32c(data[at + begin : end]) != check:
+            break
+        entries.append(data[at + body : end])
+        at, number = end, number + 1
     while at < size:
         found = _whole_at(data, at)
         if found is None or found[0] != number:
--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -586,6 +586,7 @@
         self.attempts: list[int] = []  # the server of each
         self.server: Server | None = None  # where an attempt is out
         self.first_risk: tuple[Server, float] | None = None  # first attempt that may have run: where and when
+        self.beyond = False  # sent on beyond the quota
 
 
 class Gateway:
@@ -696,6 +697,7 @@
         led, units = job.ledger, job.request.units
         if led.plan.over_worth <= led.plan.over_cost or (led.head and led.head.room(now) < units):
             return self._refuse(now, job, wait, reason)
+        job.beyond = True
         actions = self._send(now, job, BEYOND_FIT)
         if job.attempts and led.head:
             led.head.take(units, now)
@@ -768,7 +770,7 @@
         self._book(job, choice[0])
         patience = self._fleet.patience(now, server, job.cls.aim_ms)
         self._fleet.sent(now, server, (job.request.id, attempt))
-        actions: list[Action] = [Send(job.request.id, server, left)]
+        actions: list[Action] = [Send(job.request.id, server, left, job.beyond)]
         if self._settings.can_cancel and patience < left:
             actions.append(self._wake(now + patience, (job.request.id, attempt, patience)))
         return actions
--- a/martenstep/door/daemon.py
+++ b/martenstep/door/daemon.py
@@ -8,19 +8,24 @@
 import random
 import signal
 import sys
+import time
+from pathlib import Path
 from typing import Any
 
 from martenstep.config import door_pb2 as pb
+from martenstep.counter.client import CounterClient, Journal
 from martenstep.door.admin import Admin, DoorCollector
 from martenstep.door.driver import Driver, now_ms
 from martenstep.door.engine import Engine
-from martenstep.door.events import Counted
+from martenstep.door.events import Counted, Tried
 from martenstep.door.log import Notes, configure
 from martenstep.interface import Scope, Verdict
 from martenstep.members.feed import Feed
 from martenstep.members.lists import Listed
 from martenstep.store.redis_store import RedisStore
 
+COUNTER_FLUSH_MS = 2000.0  # at a stop: what is not acknowledged by then stays in the journal
+
 
 class Daemon:
     """One door with its store, its feed and its admin listener."""
@@ -32,6 +37,7 @@
         self.driver = Driver(door, self.engine, self.notes.note)
         self.ready = False
         self._store = RedisStore(door.store, self._counted) if door.HasField("store") else None
+        self._counter: CounterClient | None = None
         self._feed = Feed(door.members, door.name, self._listed, self._odd, now_ms)
         self._feeding: asyncio.Task[None] | None = None
         self._admin = Admin(DoorCollector(self._counts, self._gauges), lambda: self.ready)
@@ -43,6 +49,14 @@
         if self._store is not None:
             self._store.start()
             self.driver.add = self._store.add
+        if self.door.HasField("counter"):
+            told = self.door.counter
+            journal = Journal(Path(told.journal), told.journal_tries)
+            self._counter = CounterClient(told.host, told.port, self.door.name, journal, self._counted,
+                                          self.notes.note, timeout_ms=told.timeout_ms, waiting=told.waiting,
+                                          map_version=told.map_version)
+            self._counter.start()
+            self.driver.add, self.driver.record = self._counter.add, self._tried
         self._feed.warm()
         self._feeding = asyncio.create_task(self._feed.run())
         self._feeding.add_done_callback(self._feed_ended)
@@ -61,6 +75,9 @@
             self._feeding.cancel()
         if self._store is not None:
             await self._store.stop()
+        if self._counter is not None:
+            await self._counter.flush(COUNTER_FLUSH_MS)
+            await self._counter.stop()
         self._admin.stop()
         self.notes.note("stopped", {"clean": clean, **self.engine.held})
         return clean
@@ -68,6 +85,13 @@
     def _counted(self, call: int, verdict: Verdict, total: float) -> None:
         self.driver.act(Counted(call, verdict, total))
 
+    def _tried(self, tried: Tried) -> None:
+        assert self._counter is not None
+        if not self._counter.record(time.time() * 1000, tried.units, tried.beyond, tried.request, tried.customer,
+                                    tried.plan, tried.cls):
+            self.notes.note("try not recorded", {"request": tried.request, "customer": tried.customer,
+                                                 "plan": tried.plan, "units": tried.units, "beyond": tried.beyond})
+
     def _listed(self, listed: Listed) -> None:
         if listed.scope is not Scope.CHANGES:
             self.notes.note("members", {"scope": listed.scope.value, "servers": len(listed.servers)})
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -330,6 +330,7 @@
         self.clients: set[Client] = set()
         self.stopping = False
         self.add: Callable[[int, int, float, float], None] | None = None  # the store, where there is one
+        self.record: Callable[[ev.Tried], None] | None = None  # the counter service, where there is one
         self.listen: Callable[[], None] | None = None  # the feed
         self.counts: dict[str, int] = {"connections_turned_away": 0, "requests": 0, "attempts": 0, "replies": 0,
                                        "passed": 0, "broken": 0}
@@ -343,7 +344,8 @@
         self._resuming: set[asyncio.Task[None]] = set()
         self._carry: dict[type, Callable[[Any], None]] = {
             ev.Open: self._open, ev.Abandon: self._abandon, ev.Pass: self._pass, ev.Reply: self._reply,
-            ev.Break: self._break, ev.Add: self._add, ev.Listen: self._listen, ev.Note: self._told,
+            ev.Break: self._break, ev.Add: self._add, ev.Tried: self._tried, ev.Listen: self._listen,
+            ev.Note: self._told,
         }
 
     # Life -----------------------------------------------------------------------------------------------
@@ -462,6 +464,10 @@
         assert self.add is not None, "the module counts only where the settings name a store"
         self.add(action.call, action.name, action.units, action.expire_ms)
 
+    def _tried(self, action: ev.Tried) -> None:
+        if self.record is not None:
+            self.record(action)
+
     def _listen(self, action: ev.Listen) -> None:
         if self.listen is not None:
             self.listen()
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -78,6 +78,7 @@
         self._deadline_header = listener.deadline_header.lower().encode()
         self._margin, self._max_open = listener.answer_margin_ms, listener.max_open
         self._connect_ms, self._cancel = upstream.connect_ms, upstream.cancel
+        self._records = door.HasField("counter")  # the counter service keeps tries, Redis only counts
         self._max_wait = door.max_retry_after_ms
         self._exchanges: dict[int, Exchange] = {}  # by ticket, while anything of them is left
         self._rids: dict[str, Exchange] = {}
@@ -177,6 +178,10 @@
         exchange = self._rids[action.id]
         number = len(exchange.servers)
         exchange.servers.append(action.server)
+        if self._records and number == 0:
+            routed = exchange.routed
+            self._out.append(ev.Tried(exchange.label, routed.key, routed.plan.name, routed.cls.name, routed.units,
+                                      action.beyond))
         address = self._addresses.get(action.server)
         attempt = exchange.attempt = Attempt(number, action.server, self._now)
         if exchange.settled or address is None:
--- a/martenstep/door/events.py
+++ b/martenstep/door/events.py
@@ -178,6 +178,18 @@
     expire_ms: float
 
 
+@dataclass(slots=True)
+class Tried:
+    """A request was sent on for the first time: to be recorded, once."""
+
+    request: str
+    customer: str
+    plan: str
+    cls: str
+    units: float
+    beyond: bool
+
+
 @dataclass(slots=True)
 class Listen:
     """Ask the feed for changes from now on."""
@@ -191,4 +203,4 @@
     fields: dict[str, Any]
 
 
-Action = Open | Abandon | Pass | Reply | Break | Add | Listen | Note
+Action = Open | Abandon | Pass | Reply | Break | Add | Tried | Listen | Note
--- a/martenstep/interface.py
+++ b/martenstep/interface.py
@@ -266,6 +266,7 @@
     id: str
     server: int
     timeout_ms: float
+    beyond: bool = False  # the request is sent on beyond its quota, as far as this gateway knows
 
 
 @dataclass(frozen=True, slots=True)
--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -19,7 +19,7 @@
 from martenstep.standins.photo import PhotoConfig, WorkOf
 
 DOOR_TROUBLES = (pb.DOOR_KILLED, pb.DOOR_ROLLED, pb.DOOR_CUT_FROM_FEED)
-STORE_TROUBLES = (pb.STORE_PAUSED, pb.STORE_EMPTIED, pb.STORE_SLOW, pb.STORE_DOWN)
+STORE_TROUBLES = (pb.STORE_PAUSED, pb.STORE_EMPTIED, pb.STORE_SLOW, pb.STORE_DOWN, pb.COUNTER_KILLED)
 FEED_TROUBLES = (pb.FEED_STALE, pb.FEED_PARTIAL, pb.FEED_DOWN)
 LEAVES_BY = 0.1  # parts of the aim: a client that leaves does so while its request is on its way
 KINDS = ("standard", "slow")
@@ -41,15 +41,20 @@
     check.number(event, node, "factor", 0, 1e6)
     number = day.fleet.doors if event.trouble in DOOR_TROUBLES else day.fleet.servers
     if event.trouble in STORE_TROUBLES + FEED_TROUBLES:
+        if event.trouble == pb.COUNTER_KILLED:
+            check.number(event, node, "count", 1, 10_000)
         if event.target:
             check.fault(node.at("target"), "is of use only for doors and servers")
     elif any(target >= number for target in event.target):
         check.fault(node.at("target"), f"expected below {number}")
     elif event.count > number:
         check.fault(node.at("count"), f"expected no more than {number}")
+    if event.trouble in STORE_TROUBLES and (event.trouble == pb.COUNTER_KILLED) != day.own_counter:
+        check.fault(node.at("trouble"), "fits only a day with own_counter" if not day.own_counter
+                    else "fits only a day without own_counter")
     if event.trouble == pb.SERVER_CLASS_FAILS and not getattr(event, "class"):
         check.fault(node.at("class"), "missing")
-    if event.trouble in (pb.STORE_PAUSED, pb.DOOR_KILLED, pb.DOOR_ROLLED) and not event.for_ms:
+    if event.trouble in (pb.STORE_PAUSED, pb.DOOR_KILLED, pb.DOOR_ROLLED, pb.COUNTER_KILLED) and not event.for_ms:
         check.fault(node.at("for_ms"), "missing, expected above 0")
 
 
@@ -164,7 +169,11 @@
                     default_plan=day.customers[0].plan)
     door.listener.port = ports["listener"]
     door.admin.port = ports["admin"]
-    door.store.port, door.store.timeout_ms = ports["store"], day.store_timeout_ms
+    if day.own_counter:
+        door.counter.port, door.counter.timeout_ms = ports["store"], day.store_timeout_ms
+        door.counter.journal = str(warm_copy.with_name(f"door-{number}.journal"))
+    else:
+        door.store.port, door.store.timeout_ms = ports["store"], day.store_timeout_ms
     door.members.port, door.members.warm_copy = ports["feed"], str(warm_copy)
     door.upstream.CopyFrom(day.upstream)
     door.rules.CopyFrom(day.rules)
--- a/martenstep/lab/play.py
+++ b/martenstep/lab/play.py
@@ -107,19 +107,31 @@
         self._day, self._out, self._progress = day, out, progress
         self._events = Trace(out / "events.jsonl")
         self._logs: list[BinaryIO] = []
+        self._counter_port = 0
         fleet = day.fleet
         self._door_ports = free_ports(fleet.doors)
         self._admin_ports = free_ports(fleet.doors)
         self._server_ports = free_ports(fleet.servers)
         self._doors: dict[int, Process] = {}
         self._servers: dict[int, Process] = {}
-        self._redis = self._process("redis", ["standin", "redis", "--trace", str(out / "redis.jsonl")])
+        self._redis = self._store()
         self._feed = self._process("feed", ["standin", "feed", "--lag-ms", str(fleet.feed_lag_ms),
                                             "--trace", str(out / "feed.jsonl")])
         self._clients: Process | None = None
         self._started = [0.0] * fleet.servers  # of each server, in the feed's terms
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _store(self) -> Process:
+        """Redis's stand-in, or the project's own counter service."""
+        if not self._day.own_counter:
+            return self._process("redis", ["standin", "redis", "--trace", str(self._out / "redis.jsonl")])
+        if not self._counter_port:
+            [self._counter_port] = free_ports(1)
+        file = self._out / "counter.txtpb"
+        file.write_text(f'name: "counter" port: {self._counter_port} log {{ directory: "{self._out / "counter"}" '
+                        'segment_bytes: 1000000 snapshot_records: 20000 }', encoding="utf-8")
+        return self._process("counter", ["counter", "serve", str(file)])
+
     def _process(self, name: str, words: list[str]) -> Process:
         log = (self._out / f"{name}.log").open("ab")
         self._logs.append(log)
@@ -154,7 +166,7 @@
 
     def _door(self, number: int) -> Process:
         ports = {"listener": self._door_ports[number], "admin": self._admin_ports[number],
-                 "store": self._redis.ready["port"], "feed": self._feed.ready["port"]}
+                 "store": self._counter_port or self._redis.ready["port"], "feed": self._feed.ready["port"]}
         door = door_settings(self._day, number, ports, (self._out / f"door-{number}.members.json").absolute())
         file = self._out / f"door-{number}.txtpb"
         file.write_text(written(door), encoding="utf-8")
@@ -336,6 +348,14 @@
         if await self._last(event):
             await steer(self._redis.ready["control"], "down", on=False)
 
+    async def _counter_killed(self, event: pb.Event, targets: list[int]) -> None:
+        for _ in range(event.count):
+            await asyncio.sleep(event.for_ms / event.count / 1000)
+            await self._redis.kill()
+            self._events.write("counter killed")
+            self._redis = self._store()
+            await self._redis.start()
+
     async def _feed_stale(self, event: pb.Event, targets: list[int]) -> None:
         await steer(self._feed.ready["control"], "stale", on=True)
         if await self._last(event):
@@ -369,7 +389,9 @@
     """Play a day into a folder, whose old traces are removed; raises PlayError."""
     if out.exists():
         for path in out.iterdir():
-            if path.suffix in (".jsonl", ".log", ".json", ".txtpb"):
+            if path.is_dir() and (path.name == "counter" or path.suffix == ".journal"):
+                shutil.rmtree(path)
+            elif path.suffix in (".jsonl", ".log", ".json", ".txtpb"):
                 path.unlink()
     out.mkdir(parents=True, exist_ok=True)
     if shutil.disk_usage(out).free < 100 << 20:
--- a/martenstep/lab/report.py
+++ b/martenstep/lab/report.py
@@ -10,9 +10,22 @@
 import msgspec
 
 from martenstep.config.text import Faults
+from martenstep.counter.files import LockedError
+from martenstep.counter.log import LogError
+from martenstep.counter.read import each_try
 from martenstep.lab import day_pb2 as pb
 from martenstep.lab.day import load_day
-from martenstep.lab.rules import REFUSED, RULES, SERVED_BELOW, Judge, Traffic, gather, read_lines
+from martenstep.lab.rules import (
+    RECORDED,
+    REFUSED,
+    RULES,
+    SERVED_BELOW,
+    Judge,
+    Traffic,
+    gather,
+    read_lines,
+    recorded,
+)
 
 SHOWN = 20  # breaches of a rule in the result
 
@@ -79,8 +92,14 @@
     if not traffic.tries:
         raise TraceError(f"{folder}: no request was made")
     breaches = Judge(day, traffic).all()
+    if day.own_counter:
+        try:
+            exported = [(told.request, told.customer, told.units) for _, told in each_try(folder / "counter")]
+        except (LogError, LockedError, OSError) as error:
+            raise TraceError(f"{folder}: {error}") from None
+        breaches += recorded(traffic, exported)
     rules = {}
-    for rule in RULES:
+    for rule in (*RULES, RECORDED) if day.own_counter else RULES:
         found = [breach for breach in breaches if breach.rule == rule]
         rules[rule] = {"kept": not found, "breaches": len(found),
                        "first": [msgspec.to_builtins(breach) for breach in found[:SHOWN]]}
--- a/martenstep/lab/rules.py
+++ b/martenstep/lab/rules.py
@@ -22,6 +22,7 @@
 from martenstep.lab import day_pb2 as pb
 
 ANSWERED, DOUBLE, DRAINS, COLD, CEILINGS = "answered", "no effect twice", "drains", "cold servers", "ceilings"
+RECORDED = "tries recorded"  # of a day with the project's own counter
 RULES = (ANSWERED, DOUBLE, DRAINS, COLD, CEILINGS)
 REFUSED, SERVED_BELOW = (429, 503), 500
 TOLD_SHARE = 2 / 3  # of the work that pushed a cold server over: from doors that had been told of its start
@@ -147,6 +148,27 @@
     return traffic
 
 
+def recorded(traffic: Traffic, exported: Iterable[tuple[str, str, float]]) -> Iterable[Breach]:
+    """Each try that reached a server stands in the counter's log exactly once, with its customer and units, and none
+    stands there that no client made.  One whose first attempt met a closed port was sent on too: it may."""
+    seen: dict[str, int] = defaultdict(int)
+    for request, customer, units in exported:
+        seen[request] += 1
+        tried = traffic.tries.get(request)
+        if tried is None:
+            yield Breach(RECORDED, "recorded, and no client made it", request)
+        elif (tried.customer, tried.units) != (customer, units):
+            yield Breach(RECORDED, f"recorded for {customer} with {units:g} units, made by {tried.customer} with "
+                                   f"{tried.units:g}", request)
+    for request, count in seen.items():
+        if count > 1:
+            yield Breach(RECORDED, f"recorded {count} times", request)
+    for tried in traffic.tries.values():
+        if tried.visits and not seen[tried.rid]:
+            yield Breach(RECORDED, "reached a server, and is not recorded", tried.rid, (tried.visits[0].server,),
+                         (tried.visits[0].at,))
+
+
 class Judge:
     """The rules on one day's traffic."""
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -334,3 +334,23 @@
     assert rig.quiet() == QUIET
     rig.pass_time(5000)
     assert rig.engine.held["timers"] == 0
+
+
+def test_a_try_is_told_for_the_record_once_when_it_is_first_sent_on() -> None:
+    rig = Rig()
+    rig.engine._records = True
+    ticket = rig.ask("/pay/1", x_request_id="t1")
+    rig.end(ticket, Ending.NOT_CONNECTED, written=False)  # a further attempt is no further try
+    refused = rig.ask(customer="nobody")
+    rig.serve(ticket)
+    assert rig.of(ev.Tried) == [ev.Tried("t1", "free", "open", "pay", 2.0, False)] and rig.reply(refused)
+
+
+def test_a_try_beyond_the_quota_is_told_as_such() -> None:
+    rig = Rig("plan { name: 'paid' rate: 1 burst: 1 over_worth: 2 over_cost: 1 } "
+              "customer { key: 'eve' plan: 'paid' }")
+    rig.engine._records = True
+    for _ in range(3):
+        rig.ask(customer="eve")
+        rig.count_all(50.0)
+    assert [tried.beyond for tried in rig.of(ev.Tried)] == [True] * len(rig.of(ev.Tried)) and rig.of(ev.Tried)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -10,7 +10,18 @@
 
 from martenstep.lab import report
 from martenstep.lab.day import parse_day
-from martenstep.lab.rules import ANSWERED, CEILINGS, COLD, DOUBLE, DRAINS, Breach, Judge, gather
+from martenstep.lab.rules import (
+    ANSWERED,
+    CEILINGS,
+    COLD,
+    DOUBLE,
+    DRAINS,
+    RECORDED,
+    Breach,
+    Judge,
+    gather,
+    recorded,
+)
 
 DAY = """
 name: "judged" fleet { doors: 2 servers: 4 }
@@ -296,3 +307,22 @@
         (tmp_path / f"{name}.jsonl").write_text("")
     with pytest.raises(report.TraceError, match="no request"):
         report.judge_folder(tmp_path)
+
+
+def test_a_try_must_be_recorded_once_and_as_it_was_made() -> None:
+    story = sound()
+    story.tried("r2.0", at=2000)  # refused: never sent on
+    story.got(2010, 429, "r2.0")
+    traffic = gather(story.clients, story.servers, story.feed, story.events)
+    once = ("r1.0", "basic-0-1", 1.0)
+    assert list(recorded(traffic, [once])) == []
+    for exported, told in (([], "not recorded"), ([once, once], "recorded 2 times"),
+                           ([once, ("r9.0", "basic-0-1", 1.0)], "no client made it"),
+                           ([("r1.0", "basic-0-2", 1.0)], "recorded for basic-0-2"),
+                           ([("r1.0", "basic-0-1", 3.0)], "with 3 units")):
+        [breach] = recorded(traffic, exported)
+        assert breach.rule == RECORDED and told in breach.text
+    story = Story()
+    story.tried()  # its first attempt met a closed port: sent on, though no server saw it
+    story.got(1010, 503)
+    assert list(recorded(gather(story.clients, story.servers, story.feed, story.events), [once])) == []
