--- a/martenstep/counter/frames.py
+++ b/martenstep/counter/frames.py
@@ -6,14 +6,17 @@
 
 | kind | name | payload after the kind |
 | --- | --- | --- |
-| 0x01 | HELLO | u16 version, u32 map version, u64 epoch, string door |
+| 0x01 | HELLO | u16 version, u32 map version, u64 epoch, u64 highest term seen, string door |
 | 0x02 | ADD | u64 sequence, u64 name, f64 units, f64 expiry in ms when the name is new |
 | 0x03 | READ | u64 sequence, u64 name |
 | 0x04 | RECORD | u64 sequence, f64 time (Unix ms), f64 units, u8 beyond, strings request, customer, plan, class |
-| 0x81 | WELCOME | u16 version, u32 map version, u64 highest sequence known of this epoch |
+| 0x05 | FOLLOW | u16 version, u64 term, u64 next record wanted, u32 CRC32C of the record before it |
+| 0x06 | ACK | u64 next record: all before it are durable at the follower |
+| 0x81 | WELCOME | u16 version, u32 map version, u64 term, u64 highest sequence known of this epoch |
 | 0x82 | TOTAL | u64 sequence, u8 status, f64 total |
 | 0x83 | STORED | u64 sequence, u8 status |
 | 0x84 | REFUSED | u8 status, string reason; the connection ends |
+| 0x85 | ENTRIES | u64 number of the first record, then records as they stand in a segment |
 
 Statuses are those of `Status`.
 """
@@ -29,16 +32,19 @@
 VERSION = 1
 MOST_BYTES = 65_536  # of a payload
 HEAD = struct.Struct(">II")
-_HELLO = struct.Struct(">BHIQ")
+_HELLO = struct.Struct(">BHIQQ")
+_FOLLOW = struct.Struct(">BHQQI")
+_ACK = struct.Struct(">BQ")
+_ENTRIES = struct.Struct(">BQ")
 _ADD = struct.Struct(">BQQdd")
 _READ = struct.Struct(">BQQ")
 _RECORD = struct.Struct(">BQddB")
-_WELCOME = struct.Struct(">BHIQ")
+_WELCOME = struct.Struct(">BHIQQ")
 _TOTAL = struct.Struct(">BQBd")
 _STORED = struct.Struct(">BQB")
 _REFUSED = struct.Struct(">BB")
-HELLO, ADD, READ, RECORD = 0x01, 0x02, 0x03, 0x04
-WELCOME, TOTAL, STORED, REFUSED = 0x81, 0x82, 0x83, 0x84
+HELLO, ADD, READ, RECORD, FOLLOW, ACK = 0x01, 0x02, 0x03, 0x04, 0x05, 0x06
+WELCOME, TOTAL, STORED, REFUSED, ENTRIES = 0x81, 0x82, 0x83, 0x84, 0x85
 crc32c = google_crc32c.value
 
 
@@ -70,6 +76,32 @@
     epoch: int
     map_version: int = 1
     version: int = VERSION
+    term: int = 0
+
+
+@dataclass(slots=True)
+class Follow:
+    """A follower asks for the log from a record on."""
+
+    term: int
+    next: int
+    check: int  # of the record before it, 0 where there is none: tells logs apart
+    version: int = VERSION
+
+
+@dataclass(slots=True)
+class Ack:
+    """All records before this one are durable at the follower."""
+
+    next: int
+
+
+@dataclass(slots=True)
+class Entries:
+    """Records of the log, as they stand in a segment."""
+
+    first: int
+    data: bytes
 
 
 @dataclass(slots=True)
@@ -111,6 +143,7 @@
     highest: int
     map_version: int = 1
     version: int = VERSION
+    term: int = 0
 
 
 @dataclass(slots=True)
@@ -138,8 +171,8 @@
     reason: str
 
 
-Command = Hello | Add | Read | Record
-Reply = Welcome | Total | Stored | Refused
+Command = Hello | Add | Read | Record | Follow | Ack
+Reply = Welcome | Total | Stored | Refused | Entries
 Frame = Command | Reply
 
 
@@ -187,9 +220,16 @@
         case Stored():
             payload = _STORED.pack(STORED, frame.sequence, frame.status)
         case Hello():
-            payload = _HELLO.pack(HELLO, frame.version, frame.map_version, frame.epoch) + _strings(frame.door)
+            payload = _HELLO.pack(HELLO, frame.version, frame.map_version, frame.epoch, frame.term)
+            payload += _strings(frame.door)
         case Welcome():
-            payload = _WELCOME.pack(WELCOME, frame.version, frame.map_version, frame.highest)
+            payload = _WELCOME.pack(WELCOME, frame.version, frame.map_version, frame.term, frame.highest)
+        case Entries():
+            payload = _ENTRIES.pack(ENTRIES, frame.first) + frame.data
+        case Follow():
+            payload = _FOLLOW.pack(FOLLOW, frame.version, frame.term, frame.next, frame.check)
+        case Ack():
+            payload = _ACK.pack(ACK, frame.next)
         case Refused():
             payload = _REFUSED.pack(REFUSED, frame.status) + _strings(frame.reason)
     if len(payload) > MOST_BYTES:
@@ -215,11 +255,18 @@
             _, sequence, status = _STORED.unpack(payload)
             return Stored(sequence, Status(status))
         if kind == HELLO:
-            _, version, map_version, epoch = _HELLO.unpack_from(payload)
-            return Hello(_texts(payload, _HELLO.size, 1)[0], epoch, map_version, version)
+            _, version, map_version, epoch, term = _HELLO.unpack_from(payload)
+            return Hello(_texts(payload, _HELLO.size, 1)[0], epoch, map_version, version, term)
         if kind == WELCOME:
-            _, version, map_version, highest = _WELCOME.unpack(payload)
-            return Welcome(highest, map_version, version)
+            _, version, map_version, term, highest = _WELCOME.unpack(payload)
+            return Welcome(highest, map_version, version, term)
+        if kind == ENTRIES:
+            return Entries(_ENTRIES.unpack_from(payload)[1], payload[_ENTRIES.size:])
+        if kind == FOLLOW:
+            _, version, term, after, check = _FOLLOW.unpack(payload)
+            return Follow(term, after, check, version)
+        if kind == ACK:
+            return Ack(_ACK.unpack(payload)[1])
         if kind == REFUSED:
             return Refused(Status(_REFUSED.unpack_from(payload)[1]), _texts(payload, _REFUSED.size, 1)[0])
     except (struct.error, ValueError, IndexError) as error:
