Counter: a follower with promotion and fencing, names split over several services

Change: counter/follow.py tails the log over the same protocol (only synced records are sent, a log that has parted is refused), promote begins a term that fences the old leader through the doors; wait_for_follower answers only what a follower holds; counter/shards.py, rendezvous hashing with a versioned map, tries by customer. Tests: nothing answered is lost in step, exactly what the follower lacked is lost out of step, a leader that still lives is fenced, a joining service moves 20 to 30% of the names and only to itself.

--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -238,6 +238,45 @@
         _damage(error)
 
 
+@counter.command("follow", epilog=_example(
+    "martenstep counter follow /var/lib/martenstep/copy --leader 10.0.0.5:6400"))
+@click.argument("directory", type=click.Path(path_type=Path, file_okay=False))
+@click.option("--leader", required=True, help="HOST:PORT of the service.")
+def counter_follow(directory: Path, leader: str) -> None:
+    """Keep a copy of a service's log in DIRECTORY until SIGTERM."""
+    from martenstep.counter import follow
+    from martenstep.counter.files import LockedError
+    from martenstep.counter.log import LogError
+    host, _, port = leader.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise click.UsageError(f"--leader: expected HOST:PORT, got {leader!r}")
+    try:
+        made = follow.Follower(directory)
+        try:
+            click.echo(msgspec.json.encode({"ready": {"records": made.records, "term": made.term}}))
+            asyncio.run(made.run(host, int(port)))
+        finally:
+            made.close()
+    except (follow.RefusedError, LogError, LockedError, OSError) as error:
+        _damage(error)
+    except KeyboardInterrupt:
+        sys.exit(0)
+
+
+@counter.command("promote", epilog=_example("martenstep counter promote /var/lib/martenstep/copy"))
+@DIRECTORY
+def counter_promote(directory: Path) -> None:
+    """Begin a new term in a follower's log.  Serve it then, and point the doors at it: the old leader is fenced."""
+    from martenstep.counter import follow
+    from martenstep.counter.files import LockedError
+    from martenstep.counter.log import LogError
+    try:
+        term = follow.promote(directory)
+    except (LogError, LockedError, OSError) as error:
+        _damage(error)
+    click.echo(f"term {term} has begun")
+
+
 @counter.command("verify", epilog=_example("martenstep counter verify /var/lib/martenstep/counter"))
 @DIRECTORY
 def counter_verify(directory: Path) -> None:
--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -173,7 +173,16 @@
             check.fault(node.at("timeout_ms"), f"expected below the shortest deadline of {shortest:g}")
     if door.HasField("counter"):
         node = root.at("counter")
-        check.port(door.counter, node, any_free=False)
+        if door.counter.service:
+            for name in ("host", "port"):
+                if door.counter.HasField(name):
+                    check.fault(node.at(name), "given beside service; only one of them may be")
+            for endpoint, at in zip(door.counter.service, node.all("service"), strict=True):
+                check.needed(endpoint, at, "name")
+                check.port(endpoint, at, any_free=False)
+            check.unique(node.all("service"), door.counter.service, "name")
+        else:
+            check.port(door.counter, node, any_free=False)
         check.above_zero(door.counter, node, "timeout_ms")
         check.needed(door.counter, node, "journal")
         for name in ("waiting", "journal_tries"):
--- a/martenstep/counter/client.py
+++ b/martenstep/counter/client.py
@@ -54,6 +54,9 @@
         self._directory, self._bound = directory, bound
         directory.mkdir(parents=True, exist_ok=True)
         self.epoch = self._raise_epoch()
+        self.term = 0  # the highest that a service told of: an older one is fenced by it
+        with contextlib.suppress(FileNotFoundError, ValueError):
+            self.term = int((directory / "term").read_text())
         self.tries: OrderedDict[str, Record] = OrderedDict()
         self._path = directory / "tries.jsonl"
         self._read()
@@ -99,6 +102,12 @@
         self._keep(self._path, b"".join(line + b"\n" for line in lines))
         return os.open(self._path, os.O_WRONLY | os.O_APPEND)
 
+    def saw_term(self, term: int) -> None:
+        """Keep the highest term, over restarts."""
+        if term > self.term:
+            self.term = term
+            self._keep(self._directory / "term", f"{term}\n".encode())
+
     def promise(self, made: Record) -> bool:
         """Keep a try until it is acknowledged; False where the bound is reached."""
         if len(self.tries) >= self._bound:
@@ -230,12 +239,13 @@
     async def _connection(self) -> None:
         reader, writer = await asyncio.open_connection(self._host, self._port)
         self._writer = writer
-        writer.write(encode(Hello(self._door, self._journal.epoch, self._map_version)))
+        writer.write(encode(Hello(self._door, self._journal.epoch, self._map_version, term=self._journal.term)))
         frames = Frames()
         while data := await reader.read(READ_BYTES):
             for payload in frames.feed(data):
                 reply = decode(payload)
                 if isinstance(reply, Welcome):
+                    self._journal.saw_term(reply.term)
                     self._ready = True
                     self.sent_again += len(self._written)
                     self._written.update(self._out)
--- a/martenstep/counter/keeper.py
+++ b/martenstep/counter/keeper.py
@@ -15,7 +15,7 @@
 from martenstep.counter.files import Files
 from martenstep.counter.frames import Add, Read, Record, Reply, Status, Stored, Total
 from martenstep.counter.log import LogError, Opened, Writer, compact, open_log, write_snapshot
-from martenstep.counter.state import ENTRY_ADD, Counter, Door, Limits, read_add
+from martenstep.counter.state import ENTRY_ADD, Counter, Door, Limits, read_add, term_entry
 
 
 @dataclass(slots=True)
@@ -31,6 +31,8 @@
     """What is made durable together, and whom it answers."""
 
     entries: list[bytes] = field(default_factory=list)
+    first: int = 0  # once written: the number of the first record, and the records, for followers
+    data: bytes = b""
     replies: list[tuple[Any, Reply]] = field(default_factory=list)
 
 
@@ -69,6 +71,31 @@
         """Records in the log."""
         return self._writer.next
 
+    @property
+    def synced(self) -> int:
+        """Records that are durable."""
+        return self._writer.synced
+
+    @property
+    def files(self) -> Files:
+        """The directory, for what reads old records."""
+        return self._files
+
+    def fence(self, term: int) -> bool:
+        """A later term has begun elsewhere: nothing more is acknowledged here.  False where it has not."""
+        if term <= self.counter.term:
+            return False
+        self.failed = self.failed or f"fenced: term {term} has begun elsewhere, this is term {self.counter.term}"
+        return True
+
+    def begin_term(self) -> int:
+        """Promote: begin the next term, durably; gives it.  Raises OSError."""
+        term = self.counter.term + 1
+        entry = term_entry(self.counter.now, term)
+        self.counter.apply(entry)
+        self._writer.write([entry], True)
+        return term
+
     def hello(self, name: str, epoch: int) -> Session | None:
         """A door begins a session; None where its epoch is over, or nothing can be written."""
         if self.failed:
@@ -100,7 +127,7 @@
         if not group.entries:
             return ""
         try:
-            self._writer.write(group.entries, self._durable)
+            group.first, group.data = self._writer.write(group.entries, self._durable)
         except OSError as error:
             return error.strerror or str(error)
         return ""
--- a/martenstep/counter/log.py
+++ b/martenstep/counter/log.py
@@ -172,6 +172,45 @@
     return Scan(segment, entries, at, False)
 
 
+def likeness(number: int, entry: bytes) -> int:
+    """Tells whether two logs hold the same entry under a number, whenever each synced it."""
+    return int(crc32c(number.to_bytes(8, "big") + entry))
+
+
+def records_of(data: bytes, first: int) -> list[bytes]:
+    """The entries of records that stand one behind the other, numbered from the first; raises LogError."""
+    entries: list[bytes] = []
+    at = 0
+    while at < len(data):
+        found = _whole_at(data, at)
+        if found is None or found[0] != first + len(entries):
+            raise LogError("records", at, f"record {first + len(entries)} is not whole")
+        entries.append(found[2])
+        at += RECORD.size + len(found[2])
+    return entries
+
+
+def read_records(files: Files, first: int, until: int, most_bytes: int) -> tuple[bytes, int]:
+    """Records as they stand in the segments, from one on and below another, of so many bytes at most (one at least);
+    and how many.  Raises LogError where the first is no longer kept."""
+    found = segments(files)
+    for index, segment in enumerate(found):
+        after = found[index + 1].first if index + 1 < len(found) else until
+        if not segment.first <= first < max(after, segment.first + 1):
+            continue
+        data, at, number = files.read(segment.name), HEADER.size, segment.first
+        start = at
+        while number < min(after, until) and at + RECORD.size <= len(data):
+            if number == first:
+                start = at
+            size = RECORD.size + RECORD.unpack_from(data, at)[0]
+            if number > first and at + size - start > most_bytes:
+                break
+            at, number = at + size, number + 1
+        return data[start:at], number - first
+    raise LogError(segment_name(first), 0, f"record {first} is no longer kept here")
+
+
 @dataclass(slots=True)
 class Opened:
     """What a log holds: a snapshot's body, the records after it, and where to go on writing."""
@@ -235,6 +274,7 @@
         self.synced = self.next  # records that are durable: a seal behind them may still be lost
         self._file: Appender | None = None
         self._size = 0
+        self._seal = b""  # written behind the last group, and not durable yet
         if opened.tail is not None:
             segment, end = opened.tail
             if end >= HEADER.size:
@@ -253,8 +293,9 @@
         self._file.sync()
         self._size = len(data)
 
-    def write(self, entries: list[bytes], durable: bool) -> None:
-        """Add entries; durable once this returns.  Raises OSError: then nothing more may be written."""
+    def write(self, entries: list[bytes], durable: bool) -> tuple[int, bytes]:
+        """Add entries, durable once this returns; gives the records as written, with the seal before them, and the
+        number of their first.  Raises OSError: then nothing more may be written."""
         assert self._file is not None
         first, back = self.next, self.next - self.synced
         data = b"".join([record(first + index, back + index, entry) for index, entry in enumerate(entries)])
@@ -265,12 +306,29 @@
         if durable or full:
             self._file.sync()
             self.synced = self.next
+        shipped = first - bool(self._seal), self._seal + data
+        self._seal = b""
         if full:
             self._begin()
         elif durable:
-            self._file.write(record(self.next, 0, SEAL))
+            self._seal = record(self.next, 0, SEAL)
+            self._file.write(self._seal)
             self.next += 1
-            self._size += RECORD.size + len(SEAL)
+            self._size += len(self._seal)
+        return shipped
+
+    def copy(self, entries: list[bytes]) -> None:
+        """Add entries of another log, seals included, under the same numbers; durable once this returns.  Their place
+        since the last sync is this log's own.  Raises OSError."""
+        assert self._file is not None
+        data = b"".join([record(self.next + index, index, entry) for index, entry in enumerate(entries)])
+        self._file.write(data)
+        self._file.sync()
+        self.next += len(entries)
+        self.synced = self.next
+        self._size += len(data)
+        if self._size >= self._segment_bytes:
+            self._begin()
 
     def sync(self) -> None:
         """Make all that was written durable; raises OSError."""
--- a/martenstep/counter/service.py
+++ b/martenstep/counter/service.py
@@ -13,7 +13,7 @@
 import signal
 import sys
 import time
-from collections import defaultdict
+from collections import defaultdict, deque
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -22,7 +22,10 @@
 from martenstep.counter.files import Disk
 from martenstep.counter.frames import (
     VERSION,
+    Ack,
     Add,
+    Entries,
+    Follow,
     FrameError,
     Frames,
     Hello,
@@ -31,16 +34,37 @@
     Refused,
     Reply,
     Status,
+    Stored,
+    Total,
     Welcome,
     decode,
     encode,
 )
-from martenstep.counter.keeper import Keeper, Session
+from martenstep.counter.keeper import Group, Keeper, Session
+from martenstep.counter.log import RECORD, LogError, likeness, read_records, records_of
 from martenstep.counter.state import Limits
 
+PART_BYTES = 60_000  # of records in one frame: below the bound of a frame
+SHIP_BYTES = 4 << 20  # of old records read at once, and unsent to a follower
 SWEEP_S = 1.0  # how often half frames that hang are looked for
 
 
+def records_in(data: bytes) -> int:
+    """How many records stand in some bytes."""
+    at = count = 0
+    while at < len(data):
+        at += RECORD.size + RECORD.unpack_from(data, at)[0]
+        count += 1
+    return count
+
+
+def turned_away(command: Add | Read | Record) -> Reply:
+    """Too many wait: nothing was counted."""
+    if isinstance(command, Record):
+        return Stored(command.sequence, Status.FULL)
+    return Total(command.sequence, Status.FULL, 0.0)
+
+
 def limits_of(service: pb.Service) -> Limits:
     """The bounds that the settings state."""
     return Limits(service.window, service.try_window_ms, service.max_tries, service.max_names, service.period_ms)
@@ -65,6 +89,7 @@
         self._service = service
         self._frames = Frames()
         self.session: Session | None = None
+        self.link: Link | None = None
         self.transport: asyncio.Transport | None = None
         self.heard = time.monotonic()
 
@@ -81,6 +106,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self._service.connections.discard(self)
+        if self.link is not None:
+            self.link.stop()
 
     def data_received(self, data: bytes) -> None:
         self.heard = time.monotonic()
@@ -91,9 +118,13 @@
                     if self.session is None:
                         raise FrameError("a command before HELLO")
                     self._service.command(self, self.session, frame)
-                elif isinstance(frame, Hello) and self.session is None:
+                elif isinstance(frame, Hello) and self.session is None and self.link is None:
                     if not self._hello(frame):
                         return
+                elif isinstance(frame, Follow) and self.session is None and self.link is None:
+                    self.link = Link(self._service, self, frame)
+                elif isinstance(frame, Ack) and self.link is not None:
+                    self.link.acked(frame.next)
                 else:
                     raise FrameError(f"{type(frame).__name__} where a command was expected")
         except FrameError as error:
@@ -103,6 +134,8 @@
         service = self._service
         if hello.version != VERSION:
             self.end(Status.VERSION, f"version {hello.version} is not spoken here; {VERSION} is")
+        elif service.keeper.fence(hello.term):
+            self.end(Status.FENCED, service.keeper.failed)
         elif hello.map_version != service.settings.map_version:
             self.end(Status.MAP, f"the map has version {service.settings.map_version}: reload it")
         elif service.keeper.failed:
@@ -129,6 +162,93 @@
             self.transport.close()
 
 
+class Link:
+    """One follower: what it has been sent, and what it holds."""
+
+    def __init__(self, service: Service, connection: Connection, follow: Follow) -> None:
+        self._service, self._connection, self._follow = service, connection, follow
+        self.held = 0  # records that are durable there
+        self._sent = follow.next
+        self._task = asyncio.get_running_loop().create_task(self._ship())
+
+    def stop(self) -> None:
+        """The connection is gone."""
+        self._task.cancel()
+        self._service.links.discard(self)
+
+    def acked(self, upto: int) -> None:
+        """The follower holds all before this."""
+        self.held = max(self.held, upto)
+        self._service.confirm()
+
+    def _why_not(self) -> tuple[Status, str] | None:
+        """Whether the follower's log is the beginning of this one."""
+        service, follow = self._service, self._follow
+        keeper = service.keeper
+        if follow.version != VERSION:
+            return Status.VERSION, f"version {follow.version} is not spoken here; {VERSION} is"
+        if keeper.fence(follow.term):
+            return Status.FENCED, keeper.failed
+        if follow.next > keeper.synced:
+            return Status.BAD, f"the follower holds {follow.next} records, this log {keeper.synced}: they have parted"
+        if follow.next:
+            try:
+                data, count = read_records(keeper.files, follow.next - 1, follow.next, 1)
+                [entry] = records_of(data, follow.next - 1)
+            except (LogError, ValueError) as error:
+                return Status.BAD, f"{error}: copy the directory first"
+            if count != 1 or likeness(follow.next - 1, entry) != follow.check:
+                return Status.BAD, f"the logs part before record {follow.next}"
+        return None
+
+    async def _ship(self) -> None:
+        service = self._service
+        fault = self._why_not()
+        if fault is not None:
+            self._connection.end(*fault)
+            return
+        service.links.add(self)
+        self.held = self._sent
+        loop = asyncio.get_running_loop()
+        while self._connection.transport is not None:
+            news = service.news
+            while self._sent < service.keeper.synced:
+                try:
+                    found = service.recent(self._sent)
+                    if found is None:
+                        found = await loop.run_in_executor(None, self._old, self._sent, service.keeper.synced)
+                except LogError as error:
+                    self._connection.end(Status.BAD, f"{error}: copy the directory first")
+                    return
+                for frame in _parts(found[0], found[1]):
+                    self._connection.send(encode(frame))
+                self._sent = found[2]
+                while (transport := self._connection.transport) and transport.get_write_buffer_size() > SHIP_BYTES:
+                    await asyncio.sleep(0.001)
+                if transport is None:
+                    return
+            await news.wait()
+
+    def _old(self, first: int, until: int) -> tuple[int, bytes, int]:
+        """From the segments, what is no longer in memory."""
+        data, count = read_records(self._service.keeper.files, first, until, SHIP_BYTES)
+        return first, data, first + count
+
+
+def _parts(first: int, data: bytes) -> list[Entries]:
+    """Records cut into frames, between records."""
+    frames, start, at, number = [], 0, 0, first
+    begin = first
+    while at < len(data):
+        end = at + RECORD.size + RECORD.unpack_from(data, at)[0]
+        if end - start > PART_BYTES and at > start:
+            frames.append(Entries(begin, data[start:at]))
+            start, begin = at, number
+        at, number = end, number + 1
+    frames.append(Entries(begin, data[start:]))
+    return frames
+
+
 class Service:
     """The counter as a server."""
 
@@ -136,6 +256,11 @@
         self.settings, self.keeper = settings, keeper
         self.connections: set[Connection] = set()
         self.groups = 0
+        self.links: set[Link] = set()
+        self.news = asyncio.Event()  # set, and replaced, when more is durable
+        self._confirmed = asyncio.Event()
+        self._recent: deque[tuple[int, bytes, int]] = deque()  # records still in memory: first, bytes, next
+        self._recent_bytes = 0
         self._wake = asyncio.Event()
         self._full = asyncio.Event()
         self._writer = ThreadPoolExecutor(1, "log")
@@ -154,7 +279,8 @@
         self.keeper.counter.clock(time.time() * 1000)
         session = self.keeper.hello(hello.door, hello.epoch)
         if session is not None:
-            self.keeper.group.replies.append((connection, Welcome(session.door.highest, hello.map_version)))
+            welcome = Welcome(session.door.highest, hello.map_version, VERSION, self.keeper.counter.term)
+            self.keeper.group.replies.append((connection, welcome))
             self._wake.set()
         return session
 
@@ -162,11 +288,41 @@
         """One command."""
         keeper = self.keeper
         keeper.counter.clock(time.time() * 1000)
+        if len(keeper.group.replies) >= self.settings.max_waiting:
+            connection.send(encode(turned_away(frame)))
+            return
         keeper.command(connection, session, frame)
         if len(keeper.group.replies) >= self.settings.log.commit_records:
             self._full.set()
         self._wake.set()
 
+    def recent(self, first: int) -> tuple[int, bytes, int] | None:
+        """Records from one on that are still in memory, where they begin with it."""
+        for told in self._recent:
+            if told[0] == first and told[2] <= self.keeper.synced:
+                return told
+        return None
+
+    def confirm(self) -> None:
+        """A follower holds more."""
+        self._confirmed.set()
+
+    async def _held(self, upto: int) -> None:
+        """Wait until a follower holds all before this."""
+        while not any(link.held >= upto for link in self.links):
+            self._confirmed.clear()
+            await self._confirmed.wait()
+
+    def _tell(self, group: Group) -> None:
+        """More is durable: followers may have it."""
+        after = self.keeper.synced
+        self._recent.append((group.first, group.data, after))
+        self._recent_bytes += len(group.data)
+        while self._recent_bytes > self.settings.recent_bytes and len(self._recent) > 1:
+            self._recent_bytes -= len(self._recent.popleft()[1])
+        news, self.news = self.news, asyncio.Event()
+        news.set()
+
     async def start(self) -> int:
         """Bind; gives the port."""
         loop = asyncio.get_running_loop()
@@ -191,6 +347,10 @@
             fault = ""
             if group.entries:
                 fault = await loop.run_in_executor(self._writer, self.keeper.write, group)
+                if not fault:
+                    self._tell(group)
+                    if self.settings.wait_for_follower:
+                        await self._held(group.first + records_in(group.data))
             self.groups += 1
             self._answer(self.keeper.written(group, fault))
             if self.keeper.snapshot_due() and not self.keeper.group.entries:
@@ -225,7 +385,9 @@
         loop = asyncio.get_running_loop()
         group = self.keeper.take()
         fault = await loop.run_in_executor(self._writer, self.keeper.write, group)
-        self._answer(self.keeper.written(group, fault))
+        replies = self.keeper.written(group, fault)
+        if not self.settings.wait_for_follower:  # else nobody has confirmed them
+            self._answer(replies)
         for connection in list(self.connections):
             if connection.transport is not None:
                 connection.transport.close()
--- a/martenstep/counter/state.py
+++ b/martenstep/counter/state.py
@@ -25,10 +25,11 @@
 
 from martenstep.counter.frames import Add, FrameError, Read, Record, Reply, Status, Stored, Total
 
-ENTRY_ADD, ENTRY_TRY, ENTRY_DOOR = 1, 2, 3  # 4 is the log's seal, which says nothing
+ENTRY_ADD, ENTRY_TRY, ENTRY_DOOR, ENTRY_TERM = 1, 2, 3, 5  # 4 is the log's seal, which says nothing
 _ADD = struct.Struct(">BdIQQdd")  # kind, time, door, sequence, name, units, expiry
 _TRY = struct.Struct(">BdIQddBBHHHH")  # kind, time, door, sequence, try's time, units, beyond, known, lengths
 _DOOR = struct.Struct(">BdIQH")  # kind, time, number, epoch, length
+_TERM = struct.Struct(">BdQ")  # kind, time, term
 AHEAD_MS = 60_000.0  # a try's time may lie so far ahead of the service's: clocks differ
 
 
@@ -70,6 +71,7 @@
     tries: list[tuple[bytes, float]]
     uses: list[tuple[str, str, int, int, float, float]]
     applied: int
+    term: int = 0
 
 
 def digest_of(*words: Any) -> int:
@@ -96,6 +98,7 @@
         self._horizon = -math.inf  # tries before this are too old: ids from before it were let go
         self._uses: dict[tuple[str, str, int], Use] = {}
         self.applied = 0  # entries so far
+        self.term = 0  # raised each time a follower is promoted: an older one may write no more
 
     # Commands -------------------------------------------------------------------------------------------
 
@@ -214,6 +217,8 @@
                 self._by_number[number] = fresh
             else:
                 self._by_number.append(fresh)
+        elif kind == ENTRY_TERM:
+            self.term = max(self.term, _TERM.unpack(entry)[2])
 
     def _remember(self, door: Door, sequence: int, digest: int, result: float) -> None:
         door.results[sequence] = digest, result
@@ -283,14 +288,14 @@
             [(door.number, door.name, door.epoch, door.highest,
               [(key, digest, result) for key, (digest, result) in door.results.items()]) for door in self._by_number],
             list(self._tries.items()),
-            [(*key, use.tries, use.units, use.beyond) for key, use in self._uses.items()], self.applied))
+            [(*key, use.tries, use.units, use.beyond) for key, use in self._uses.items()], self.applied, self.term))
 
     @classmethod
     def restored(cls, limits: Limits, data: bytes) -> Counter:
         """A state from its snapshot; raises msgspec.DecodeError."""
         told = msgspec.msgpack.decode(data, type=_Snapshot)
         made = cls(limits)
-        made.now, made.applied = told.now, told.applied
+        made.now, made.applied, made.term = told.now, told.applied, told.term
         made._names = {name: (total, expires) for name, total, expires in told.names}
         made._expiries = deque(sorted((expires, name) for name, _, expires in told.names))
         for number, name, epoch, highest, results in told.doors:
@@ -321,6 +326,16 @@
     return AddEntry(*_ADD.unpack(entry)[1:])
 
 
+def term_entry(now: float, term: int) -> bytes:
+    """The entry that begins a term."""
+    return _TERM.pack(ENTRY_TERM, now, term)
+
+
+def term_of(entry: bytes) -> int:
+    """The term that an entry begins."""
+    return int(_TERM.unpack(entry)[2])
+
+
 def read_door(entry: bytes) -> tuple[float, int, int, str]:
     """A door's entry: time, number, epoch, name."""
     _, at, number, epoch, size = _DOOR.unpack_from(entry)
--- a/martenstep/door/daemon.py
+++ b/martenstep/door/daemon.py
@@ -14,6 +14,7 @@
 
 from martenstep.config import door_pb2 as pb
 from martenstep.counter.client import CounterClient, Journal
+from martenstep.counter.shards import Shards
 from martenstep.door.admin import Admin, DoorCollector
 from martenstep.door.driver import Driver, now_ms
 from martenstep.door.engine import Engine
@@ -37,7 +38,7 @@
         self.driver = Driver(door, self.engine, self.notes.note)
         self.ready = False
         self._store = RedisStore(door.store, self._counted) if door.HasField("store") else None
-        self._counter: CounterClient | None = None
+        self._counter: Shards | None = None
         self._feed = Feed(door.members, door.name, self._listed, self._odd, now_ms)
         self._feeding: asyncio.Task[None] | None = None
         self._admin = Admin(DoorCollector(self._counts, self._gauges), lambda: self.ready)
@@ -50,11 +51,7 @@
             self._store.start()
             self.driver.add = self._store.add
         if self.door.HasField("counter"):
-            told = self.door.counter
-            journal = Journal(Path(told.journal), told.journal_tries)
-            self._counter = CounterClient(told.host, told.port, self.door.name, journal, self._counted,
-                                          self.notes.note, timeout_ms=told.timeout_ms, waiting=told.waiting,
-                                          map_version=told.map_version)
+            self._counter = Shards(self._counter_clients())
             self._counter.start()
             self.driver.add, self.driver.record = self._counter.add, self._tried
         self._feed.warm()
@@ -85,6 +82,18 @@
     def _counted(self, call: int, verdict: Verdict, total: float) -> None:
         self.driver.act(Counted(call, verdict, total))
 
+    def _counter_clients(self) -> dict[str, CounterClient]:
+        """One client a service, each with a journal of its own."""
+        told = self.door.counter
+        endpoints = [(one.name, one.host, one.port) for one in told.service] or [("", told.host, told.port)]
+        return {
+            name: CounterClient(host, port, self.door.name,
+                                Journal(Path(told.journal) / name, told.journal_tries), self._counted,
+                                self.notes.note, timeout_ms=told.timeout_ms, waiting=told.waiting,
+                                map_version=told.map_version)
+            for name, host, port in endpoints
+        }
+
     def _tried(self, tried: Tried) -> None:
         assert self._counter is not None
         if not self._counter.record(time.time() * 1000, tried.units, tried.beyond, tried.request, tried.customer,
--- /dev/null
+++ b/tests/test_counter_follow.py
@@ -0,0 +1,157 @@
+"""A follower, its promotion, and what each mode may lose."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from martenstep.counter import frames as fr
+from martenstep.counter.follow import Follower, RefusedError, promote
+from martenstep.counter.read import rebuilt, verify
+from martenstep.counter.state import Limits
+from martenstep.interface import Verdict
+from tests.socket_rig import run
+from tests.test_counter_service import Desk, Wire, served
+
+
+async def adds(wire: Wire, first: int, count: int) -> list[fr.Frame]:
+    wire.send(*(fr.Add(n, 1, 1.0, 1e9) for n in range(first, first + count)))
+    return [await wire.next() for _ in range(count)]
+
+
+async def caught_up(follower: Follower, records: int) -> None:
+    while follower.records < records:
+        await asyncio.sleep(0.002)
+
+
+def test_a_follower_holds_what_the_leader_holds_from_old_segments_and_live(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path / "a", "recent_bytes: 2000") as (service, port):
+            wire = await Wire.to(port, fr.Hello("door", 1))
+            for first in range(1, 2000, 100):
+                await adds(wire, first, 100)  # most of it is no longer in memory
+            follower = Follower(tmp_path / "b", segment_bytes=30_000)
+            task = asyncio.create_task(follower.run("127.0.0.1", port))
+            await caught_up(follower, service.keeper.synced)
+            for first in range(2001, 2500, 100):
+                await adds(wire, first, 100)
+            await caught_up(follower, service.keeper.synced)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            follower.close()
+            again = Follower(tmp_path / "b")  # goes on where it was
+            task = asyncio.create_task(again.run("127.0.0.1", port))
+            await adds(wire, 2501, 10)
+            await caught_up(again, service.keeper.synced)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            again.close()
+        assert rebuilt(tmp_path / "b", Limits()).total(1) == rebuilt(tmp_path / "a", Limits()).total(1) == 2510.0
+        assert verify(tmp_path / "b").segments > 3
+    run(test())
+
+
+def test_in_step_nothing_is_answered_that_a_follower_does_not_hold(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path / "a", "wait_for_follower: true") as (_, port):
+            follower = Follower(tmp_path / "b")
+            task = asyncio.create_task(follower.run("127.0.0.1", port))
+            wire = await Wire.to(port, fr.Hello("door", 1))  # itself an entry that waits for the follower
+            assert (await adds(wire, 1, 20))[-1] == fr.Total(20, fr.Status.DONE, 20.0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            follower.close()
+            wire.send(fr.Add(21, 1, 1.0, 1e9))
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(wire.next(), 0.2)  # no follower: no answer
+            # The leader's machine is lost here: the copy holds all that was answered.
+            assert rebuilt(tmp_path / "b", Limits()).total(1) == 20.0
+    run(test())
+
+
+def test_out_of_step_what_the_follower_lacks_is_lost_with_the_leader(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path / "a") as (service, port):
+            follower = Follower(tmp_path / "b")
+            task = asyncio.create_task(follower.run("127.0.0.1", port))
+            wire = await Wire.to(port, fr.Hello("door", 1))
+            await adds(wire, 1, 20)
+            await caught_up(follower, service.keeper.synced)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            follower.close()
+            assert (await adds(wire, 21, 5))[-1] == fr.Total(25, fr.Status.DONE, 25.0)  # answered, and only here
+        assert rebuilt(tmp_path / "b", Limits()).total(1) == 20.0  # as stated: 5 acknowledged adds are lost
+    run(test())
+
+
+def test_a_promoted_follower_fences_a_leader_that_still_lives(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path / "a") as (old, old_port):
+            follower = Follower(tmp_path / "b")
+            task = asyncio.create_task(follower.run("127.0.0.1", old_port))
+            desk = Desk(old_port, tmp_path / "door", timeout_ms=5000.0)
+            for _ in range(10):
+                desk.add(1)
+            await desk.quiet()
+            await caught_up(follower, old.keeper.synced)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            follower.close()
+            await desk.client.stop()
+            assert promote(tmp_path / "b") == 1
+            async with served(tmp_path / "b") as (new, new_port):
+                moved = Desk(new_port, tmp_path / "door", timeout_ms=5000.0)  # the door is pointed at the new one
+                call = moved.add(1)
+                await moved.quiet()
+                assert moved.answers[call] == (Verdict.OK, 11.0) and new.keeper.counter.term == 1
+                await moved.client.stop()
+            # A stray door speaks to the old leader, and brings the term along.
+            stray = Desk(old_port, tmp_path / "door", timeout_ms=200.0)
+            call = stray.add(1)
+            while call not in stray.answers:
+                await asyncio.sleep(0.005)
+            assert stray.answers[call][0] is not Verdict.OK
+            await stray.client.stop()
+            wire = await Wire.to(old_port)
+            wire.send(fr.Hello("another", 1))  # one that knows nothing of the new term is refused as well
+            refused = await wire.next()
+            assert isinstance(refused, fr.Refused) and "fenced: term 1 has begun elsewhere" in refused.reason
+            assert old.keeper.counter.total(1) == 10.0
+    run(test())
+
+
+def test_a_log_that_has_parted_is_not_followed_over(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path / "a") as (_, port):
+            await adds(await Wire.to(port, fr.Hello("door", 1)), 1, 10)
+        async with served(tmp_path / "b") as (_, port):
+            await adds(await Wire.to(port, fr.Hello("other", 2)), 1, 20)
+            parted = Follower(tmp_path / "a")
+            with pytest.raises(RefusedError, match="the logs part before record"):
+                await parted.run("127.0.0.1", port)
+            parted.close()
+        async with served(tmp_path / "c") as (_, port):
+            longer = Follower(tmp_path / "a")
+            with pytest.raises(RefusedError, match="they have parted"):
+                await longer.run("127.0.0.1", port)
+            longer.close()
+    run(test())
+
+
+def test_a_follower_behind_what_is_kept_is_told_to_copy(tmp_path: Path) -> None:
+    async def test() -> None:
+        more = "recent_bytes: 100"
+        async with served(tmp_path / "a", more) as (service, port):
+            await adds(await Wire.to(port, fr.Hello("door", 1)), 1, 50)
+            from martenstep.counter.log import segments
+            [first] = segments(service.keeper.files)
+            service.keeper._writer._begin()
+            service.keeper.files.remove(first.name)
+            follower = Follower(tmp_path / "b")
+            with pytest.raises(RefusedError, match="copy the directory first"):
+                await follower.run("127.0.0.1", port)
+            follower.close()
+    run(test())
--- /dev/null
+++ b/tests/test_counter_shards.py
@@ -0,0 +1,93 @@
+"""Names split over several counter services."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from martenstep.config.settings import parse_door
+from martenstep.config.text import Faults
+from martenstep.counter.client import CounterClient, Journal
+from martenstep.counter.read import each_try, rebuilt
+from martenstep.counter.shards import Shards, owner
+from martenstep.counter.state import Limits
+from martenstep.interface import Verdict
+from tests.door_rig import DOOR
+from tests.socket_rig import run
+from tests.test_counter_service import served
+
+
+def test_a_service_that_joins_or_leaves_moves_only_its_own_names() -> None:
+    keys = [f"n{number:x}" for number in range(20_000)]
+    three = {key: owner(["a", "b", "c"], key) for key in keys}
+    assert three == {key: owner(["c", "a", "b"], key) for key in keys}  # in whatever order they are written
+    assert all(6000 < count < 7400 for count in Counter(three.values()).values())
+    two = {key: owner(["a", "b"], key) for key in keys}
+    assert {three[key] for key in keys if three[key] != two[key]} == {"c"}
+    four = {key: owner(["a", "b", "c", "d"], key) for key in keys}
+    moved = [key for key in keys if three[key] != four[key]]
+    assert {four[key] for key in moved} == {"d"} and 0.2 < len(moved) / len(keys) < 0.3
+
+
+def test_adds_and_tries_go_to_one_service_each_and_nothing_is_counted_twice(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path / "a") as (_, a), served(tmp_path / "b") as (_, b):
+            answers: dict[int, tuple[Verdict, float]] = {}
+
+            def desk(name: str) -> Shards:
+                made = Shards({service: CounterClient(
+                    "127.0.0.1", port, name, Journal(tmp_path / name / service, 1000),
+                    lambda call, verdict, total: answers.__setitem__(call, (verdict, total)),
+                    lambda event, fields: None, timeout_ms=5000.0) for service, port in (("a", a), ("b", b))})
+                made.start()
+                return made
+
+            one, two = desk("door-0"), desk("door-1")
+            now = time.time() * 1000
+            for number in range(200):
+                (one if number % 2 else two).add(number, number // 4, 1.0, 1e9)
+                for door in (one, two):  # the same try from both
+                    assert door.record(now, 1.0, False, f"r{number}", f"customer-{number % 9}", "basic", "read")
+            assert all(await asyncio.gather(one.flush(9000.0), two.flush(9000.0)))
+            await asyncio.gather(one.stop(), two.stop())
+            assert sorted(total for _, total in answers.values()) == sorted([1.0, 2.0, 3.0, 4.0] * 50)
+        states = [rebuilt(tmp_path / service, Limits()) for service in ("a", "b")]
+        assert all(sorted(state.total(name) for state in states) == [0.0, 4.0] for name in range(50))
+        tries = [told for service in ("a", "b") for _, told in each_try(tmp_path / service)]
+        assert sorted(told.request for told in tries) == sorted(f"r{number}" for number in range(200))
+        for number in range(9):
+            held = [any(told.customer == f"customer-{number}" for _, told in each_try(tmp_path / service))
+                    for service in ("a", "b")]
+            assert sorted(held) == [False, True]  # one customer, one log
+    run(test())
+
+
+def test_a_client_with_an_old_map_is_told_to_reload(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path / "log", "map_version: 2") as (service, port):
+            notes: list[str] = []
+            client = CounterClient("127.0.0.1", port, "door-0", Journal(tmp_path / "door", 10),
+                                   lambda call, verdict, total: None,
+                                   lambda event, fields: notes.append(str(fields)), map_version=1)
+            client.start()
+            client.add(1, 1, 1.0, 1e9)
+            while not notes:
+                await asyncio.sleep(0.002)
+            assert "MAP: the map has version 2: reload it" in notes[0]
+            await client.stop()
+            assert service.keeper.counter.total(1) == 0.0
+    run(test())
+
+
+def test_the_settings_of_several_services_are_checked() -> None:
+    base = DOOR.replace("store { port: 1 timeout_ms: 50 }", "counter { journal: \"/tmp/j\" SERVICES }")
+    good = 'service { name: "a" port: 1 } service { name: "b" port: 2 }'
+    assert len(parse_door(base.replace("SERVICES", good), "d").counter.service) == 2
+    for bad, told in ((good.replace('"b"', '"a"'), "is taken by"), (good + " port: 5", "given beside service"),
+                      ('service { name: "a" }', "missing, expected a port"), ("", "missing, expected a port")):
+        with pytest.raises(Faults, match=told):
+            parse_door(base.replace("SERVICES", bad), "d")
