A second answer on a server's connection is never taken for the next request's

Cause: bytes that stood behind an answer stayed in the parser of a connection that went back to the pool, and the next request on it got them as its answer. Change: such a connection is dropped. Test: a server that answers twice in one piece, and once more when idle; it failed before.

--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -164,6 +164,10 @@
 
     def put(self, upstream: Upstream, now: float) -> None:
         """Keep a connection whose answer is whole for the next attempt."""
+        if upstream.h11.trailing_data[0] or upstream.reader.ended:
+            # Bytes behind the answer would be taken for the next request's answer.
+            self.drop(upstream)
+            return
         try:
             upstream.h11.start_next_cycle()
         except h11.LocalProtocolError:  # it is to be closed, as its answer said
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -336,6 +336,27 @@
     run(test())
 
 
+def test_a_second_answer_is_never_the_next_requests() -> None:
+    async def twice(peer: Peer) -> None:
+        head = await peer.head()
+        answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n"
+        await peer.write(answer + "first" + answer + "other")  # in one piece
+        if "/late" in head:
+            await asyncio.sleep(0.01)
+            await peer.write(answer + "third")  # and once more, when the connection is idle
+        await peer.rest()
+
+    async def test() -> None:
+        async with house(twice) as door:
+            peer = await door.client()
+            for path in ("/read/1", "/read/late", "/read/2"):
+                await peer.write(get(path))
+                assert (await peer.response())[2] == b"first"
+                await asyncio.sleep(0.02)
+            assert door.driver.pool.opened == 3
+    run(test())
+
+
 def test_a_connection_that_cannot_be_made_proves_that_nothing_ran() -> None:
     async def test() -> None:
         closed = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
