The door asks an authentication service before it decides on a request

Change: routes with authenticate wait for a verdict; the service alone says who the customer is (a client's own identity headers, and their underscored twins, are stripped); anything but 2xx is the client's answer; a check that eats its part of the deadline is answered at once and charges nothing; door/checks.py carries checks over pooled connections, never reused after bytes that nobody asked for. Tests: 26, in virtual time and byte by byte on sockets.

--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -140,7 +140,11 @@
         if method not in METHODS:
             check.fault(node.at("method"), f"expected one of {', '.join(METHODS)}, got {method!r}")
     if entry.WhichOneof("identity") is None:
-        check.fault(node, "missing customer_header or customer_segment: who the customer is")
+        check.fault(node, "missing customer_header, customer_segment or authenticate: who the customer is")
+    elif entry.HasField("authenticate") and not entry.authenticate:
+        check.fault(node.at("authenticate"), "false says nothing: leave it out, or name the customer otherwise")
+    if entry.fail_open and not entry.authenticate:
+        check.fault(node.at("fail_open"), "is of use only with authenticate")
     elif entry.HasField("customer_segment") and not entry.customer_segment:
         check.fault(node.at("customer_segment"), "expected at least 1")
 
@@ -189,6 +193,20 @@
             check.number(door.counter, node, name, 1)
         if door.HasField("store"):
             check.fault(node, "given beside store; only one of them may be")
+    if door.HasField("auth"):
+        node = root.at("auth")
+        if not door.auth.service:
+            check.fault(node.at("service"), "missing: at least one is needed")
+        for service, at in zip(door.auth.service, node.all("service"), strict=True):
+            check.port(service, at, any_free=False)
+        if not door.auth.path.startswith("/"):
+            check.fault(node.at("path"), f"expected a path that begins with '/', got {door.auth.path!r}")
+        check.number(door.auth, node, "share", 0.01, 1)
+        check.above_zero(door.auth, node, "attempt_ms", "open_ms")
+        for name in ("attempts", "per_service", "total", "waiting", "cache_entries"):
+            check.number(door.auth, node, name, 1)
+        for name in ("cache_ms", "deny_ms"):
+            check.number(door.auth, node, name, 0)
     if door.HasField("members"):
         node = root.at("members")
         check.port(door.members, node, any_free=False)
@@ -237,6 +255,11 @@
     for route, node in zip(door.route, root.all("route"), strict=True):
         _check_route(check, route, node, {entry.name for entry in classes}, door.max_units)
     check.unique(root.all("route"), door.route, "name")
+    for route, node in zip(door.route, root.all("route"), strict=True):
+        if route.authenticate and not door.HasField("auth"):
+            check.fault(node.at("authenticate"), "there is no auth to ask")
+        if route.fail_open and not door.default_plan:
+            check.fault(node.at("fail_open"), "there is no default_plan for those that pass without a verdict")
     check_rules(check, door.rules, root.at("rules"))
     _check_parts(check, door, root)
 
--- /dev/null
+++ b/martenstep/door/checks.py
@@ -0,0 +1,142 @@
+"""Carries checks to authentication services: one GET each, the answer read whole within a bound."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Protocol
+
+import h11
+
+from martenstep.config import door_pb2 as pb
+from martenstep.door import events as ev
+from martenstep.door.http import END, request_head
+from martenstep.door.wires import Pool, Upstream
+
+READ_BYTES = 65536
+IDLE_MS = 15_000.0  # an idle connection to a service is closed
+
+
+class Host(Protocol):
+    """Who is told."""
+
+    loop: asyncio.AbstractEventLoop
+
+    def act(self, event: ev.Event) -> None:
+        """Tell the engine."""
+
+
+class _Flying:
+    """One attempt of a check."""
+
+    def __init__(self, attempt: int) -> None:
+        self.attempt = attempt
+        self.task: asyncio.Task[None] | None = None
+        self.upstream: Upstream | None = None
+        self.status = 0
+        self.headers: ev.Headers = []
+        self.body = bytearray()
+
+
+class Checks:
+    """All checks that are out."""
+
+    def __init__(self, host: Host, settings: pb.Auth) -> None:
+        self._host, self._bound = host, settings.body_bytes
+        self.pool = Pool(settings.per_service + 1, IDLE_MS, READ_BYTES)
+        self._flying: dict[int, _Flying] = {}
+
+    def ask(self, action: ev.Ask) -> None:
+        """Start an attempt."""
+        flying = self._flying[action.check] = _Flying(action.attempt)
+        upstream = self.pool.take(action.address)
+        if upstream is not None:
+            self._begin(action, flying, upstream)
+        elif self.pool.reserve(action.address):
+            flying.task = self._host.loop.create_task(self._dial(action, flying))
+        else:
+            self._failed(action.check, flying)
+
+    def stop(self, action: ev.StopAsking) -> None:
+        """End an attempt and its connection; what still comes of it reaches nobody."""
+        flying = self._flying.pop(action.check, None)
+        if flying is not None:
+            self._drop(flying)
+
+    def close(self) -> None:
+        """End all."""
+        for flying in self._flying.values():
+            self._drop(flying)
+        self._flying.clear()
+        self.pool.close()
+
+    def _drop(self, flying: _Flying) -> None:
+        if flying.task is not None:
+            flying.task.cancel()
+        if flying.upstream is not None:
+            flying.upstream.reader.sink = None
+            self.pool.drop(flying.upstream)
+            flying.upstream = None
+
+    def _failed(self, check: int, flying: _Flying) -> None:
+        if self._flying.get(check) is flying:
+            del self._flying[check]
+            flying.task = None
+            self._drop(flying)
+            self._host.act(ev.CheckFailed(check, flying.attempt))
+
+    async def _dial(self, action: ev.Ask, flying: _Flying) -> None:
+        try:
+            upstream = await self.pool.dial(action.address)
+        except OSError:
+            self.pool.release(action.address)
+            self._failed(action.check, flying)
+            return
+        except asyncio.CancelledError:
+            self.pool.release(action.address)
+            raise
+        flying.task = None
+        if self._flying.get(action.check) is not flying:
+            self.pool.drop(upstream)
+            return
+        self._begin(action, flying, upstream)
+
+    def _begin(self, action: ev.Ask, flying: _Flying, upstream: Upstream) -> None:
+        flying.upstream = upstream
+        upstream.reader.sink = lambda data: self._came(action.check, flying, upstream, data)
+        host = f"{action.address[0]}:{action.address[1]}".encode()
+        try:
+            out = request_head(upstream.h11, b"GET", action.target, [(b"host", host), *action.headers])
+            upstream.writer.write(out + (upstream.h11.send(END) or b""))
+        except h11.LocalProtocolError:
+            self._failed(action.check, flying)
+
+    def _came(self, check: int, flying: _Flying, upstream: Upstream, data: bytes) -> None:
+        if flying.upstream is not upstream:
+            return
+        try:
+            upstream.h11.receive_data(data)
+            while flying.upstream is upstream:
+                event = upstream.h11.next_event()
+                if event is h11.NEED_DATA:
+                    return
+                if isinstance(event, h11.Response):
+                    flying.status = event.status_code
+                    flying.headers = [(name.lower(), value) for name, value in event.headers.raw_items()]
+                elif isinstance(event, h11.Data):
+                    flying.body += event.data
+                    if len(flying.body) > self._bound:
+                        self._failed(check, flying)
+                elif isinstance(event, h11.EndOfMessage):
+                    self._whole(check, flying, upstream)
+                elif isinstance(event, h11.ConnectionClosed):
+                    self._failed(check, flying)
+        except h11.RemoteProtocolError:
+            self._failed(check, flying)
+
+    def _whole(self, check: int, flying: _Flying, upstream: Upstream) -> None:
+        upstream.reader.sink = None
+        flying.upstream = None
+        self._flying.pop(check, None)
+        self.pool.put(upstream, time.monotonic() * 1000.0)  # with bytes behind the answer it is dropped
+        self._host.act(ev.Checked(check, flying.attempt, flying.status, flying.headers, bytes(flying.body)))
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -23,6 +23,7 @@
 
 from martenstep.config import door_pb2 as pb
 from martenstep.door import events as ev
+from martenstep.door.checks import Checks
 from martenstep.door.engine import Engine
 from martenstep.door.events import Ending
 from martenstep.door.http import END, own_answer, request_head, response_head
@@ -342,10 +343,11 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
         self._resuming: set[asyncio.Task[None]] = set()
+        self._checks = Checks(self, door.auth)
         self._carry: dict[type, Callable[[Any], None]] = {
             ev.Open: self._open, ev.Abandon: self._abandon, ev.Pass: self._pass, ev.Reply: self._reply,
             ev.Break: self._break, ev.Add: self._add, ev.Tried: self._tried, ev.Listen: self._listen,
-            ev.Note: self._told,
+            ev.Note: self._told, ev.Ask: self._checks.ask, ev.StopAsking: self._checks.stop,
         }
 
     # Life -----------------------------------------------------------------------------------------------
@@ -383,6 +385,7 @@
             if flight.task is not None:
                 flight.task.cancel()
         self.pool.close()
+        self._checks.close()
         if self._due is not None:
             self._due.cancel()
         return clean
@@ -416,6 +419,7 @@
             await asyncio.sleep(SWEEP_MS / 1000)
             now = now_ms()
             self.pool.sweep(now)
+            self._checks.pool.sweep(now)
             for client in list(self.clients):
                 if client.flight is not None or client.closing:
                     continue
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -9,24 +9,31 @@
 
 from __future__ import annotations
 
+import hashlib
 import heapq
+import random
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 from martenstep import interface as api
+from martenstep.auth import core as auth
 from martenstep.config import door_pb2 as pb
 from martenstep.config.settings import ERROR_STATUS, module_settings
 from martenstep.decide import Gateway
 from martenstep.door import events as ev
 from martenstep.door.http import STATUS, header, only_ours, own_answer, rate_limit
-from martenstep.door.routes import Routed, Routes, Unroutable
+from martenstep.door.routes import Guarded, Routed, Routes, Unroutable
 from martenstep.door.verdicts import StatusTable, of_ending, of_stop
 from martenstep.interface import Verdict
 
 FULL_HOUSE_WAIT_MS = 1000.0  # retry-after where the door holds all it may: about the time a request takes
 COUNT_GRACE_MS = 1.0  # the store answers its time-outs itself; this long after them the engine does
 ID_BYTES = 200  # of a client's request id at most: longer ones are cut
+NOBODY = api.Plan("")  # of a request whose customer is not known yet
+# Of a denying answer, what a client needs to do better: where to log in, and how.
+DENY_HEADERS = frozenset((b"content-type", b"www-authenticate", b"location", b"set-cookie", b"retry-after",
+                          b"cache-control"))
 GATEWAY_ERROR, GATEWAY_TIMEOUT, UNAVAILABLE = 502, 504, 503
 
 
@@ -45,8 +52,8 @@
 class Exchange:
     """One client request, from its head to the end of its last attempt."""
 
-    __slots__ = ("arrived", "attempt", "deadline", "head", "label", "one_attempt", "rid", "routed", "servers",
-                 "settled", "ticket", "timed_out")
+    __slots__ = ("arrived", "attempt", "deadline", "guarded", "head", "label", "one_attempt", "rid", "routed",
+                 "servers", "settled", "ticket", "timed_out", "told", "verdict")
 
     def __init__(self, arrived: ev.Arrived, routed: Routed, rid: str, label: str, now: float,
                  deadline: float) -> None:
@@ -56,6 +63,9 @@
         self.attempt: Attempt | None = None  # the last one
         self.servers: list[int] = []  # of all attempts
         self.settled = False  # it has its final answer, or its client is gone
+        self.guarded: Guarded | None = None  # an authentication service is to tell its customer
+        self.verdict: auth.Answer | None = None  # what it said
+        self.told = False  # the module knows of it
         self.one_attempt = False  # its body cannot be written again
         self.timed_out = False
 
@@ -80,6 +90,21 @@
         self._connect_ms, self._cancel = upstream.connect_ms, upstream.cancel
         self._records = door.HasField("counter")  # the counter service keeps tries, Redis only counts
         self._max_wait = door.max_retry_after_ms
+        self._auth: auth.Core | None = None
+        if door.HasField("auth"):
+            told = door.auth
+            self._auth = auth.Core(auth.Rules(
+                told.share, told.attempt_ms, told.attempts, told.per_service, told.total, told.waiting,
+                told.cache_entries, told.cache_ms, told.deny_ms, told.open_ms), len(told.service), random.Random(seed))
+            self._auth_services = [(one.host, one.port) for one in told.service]
+            self._auth_path, self._auth_by_target = told.path.encode(), told.by_target
+            names = told.credential_header or ("authorization", "cookie")
+            self._credentials = [name.lower().encode() for name in names]
+            self._auth_copies = {name.lower().encode() for name in told.copy_header}
+            self._auth_customer, self._auth_plan = (told.customer_header.lower().encode(),
+                                                    told.plan_header.lower().encode())
+            # What only the service may say: a client that says it itself is not heard.
+            self._auth_only = self._auth_copies | {self._auth_customer, self._auth_plan}
         self._exchanges: dict[int, Exchange] = {}  # by ticket, while anything of them is left
         self._rids: dict[str, Exchange] = {}
         self._open = 0  # requests without a final answer
@@ -96,7 +121,8 @@
             ev.Arrived: self._arrived, ev.ClientLeft: self._client_left, ev.BodyDropped: self._body_dropped,
             ev.Written: self._written, ev.AnswerHead: self._answer_head, ev.AnswerBegun: self._answer_begun,
             ev.AnswerWhole: self._answer_whole, ev.AttemptEnded: self._attempt_ended, ev.Counted: self._counted,
-            ev.Listed: self._listed, ev.Tick: self._tick,
+            ev.Listed: self._listed, ev.Tick: self._tick, ev.Checked: self._checked,
+            ev.CheckFailed: self._check_failed,
         }
 
     # Outside --------------------------------------------------------------------------------------------
@@ -109,17 +135,23 @@
     @property
     def held(self) -> dict[str, int]:
         """What is kept, for metrics and for tests that all books balance."""
-        return {"exchanges": len(self._exchanges), "calls": len(self._calls), "timers": len(self._timers),
+        held = {"exchanges": len(self._exchanges), "calls": len(self._calls), "timers": len(self._timers),
                 "servers": len(self._addresses), "open": self._open}
+        if self._auth is not None:
+            held.update({f"auth_{name}": count for name, count in self._auth.held.items()})
+        return held
 
     def next_at(self) -> float | None:
         """When the next Tick is due."""
-        return self._timers[0][0] if self._timers else None
+        own = self._timers[0][0] if self._timers else None
+        asked = self._auth.next_at() if self._auth is not None else None
+        return own if asked is None else asked if own is None else min(own, asked)
 
     def handle(self, now: float, event: ev.Event) -> list[ev.Action]:
         """Take in one event; gives what is to be done, in order."""
         self._now = max(now, self._now)
-        if self._timers and self._timers[0][0] <= self._now and type(event) is not ev.Tick:
+        due = self.next_at()
+        if due is not None and due <= self._now and type(event) is not ev.Tick:
             self._tick(event)  # what was due before this event goes first, however late the driver is
         self._handlers[type(event)](event)
         out, self._out = self._out, []
@@ -182,6 +214,8 @@
             routed = exchange.routed
             self._out.append(ev.Tried(exchange.label, routed.key, routed.plan.name, routed.cls.name, routed.units,
                                       action.beyond))
+        if number == 0 and self._auth is not None:
+            self._auth.sent(exchange.ticket)
         address = self._addresses.get(action.server)
         attempt = exchange.attempt = Attempt(number, action.server, self._now)
         if exchange.settled or address is None:
@@ -192,6 +226,11 @@
         headers = only_ours(head.headers, keep_length=True)
         replaced = {self._id_header, self._attempt_header, self._deadline_header}
         headers = [pair for pair in headers if pair[0] not in replaced]
+        if self._auth is not None:
+            # Some servers read x_auth_customer as x-auth-customer.
+            headers = [pair for pair in headers if pair[0].replace(b"_", b"-") not in self._auth_only]
+        if exchange.verdict is not None:
+            headers += [pair for pair in exchange.verdict.headers if pair[0] in self._auth_copies]
         headers.append((self._id_header, exchange.label.encode("latin-1", "replace")))
         headers.append((self._attempt_header, b"%d" % number))
         left = max(exchange.deadline - self._now, 0.0)
@@ -262,6 +301,8 @@
     def _settle(self, exchange: Exchange, status: int, reason: str, wait: float | None) -> None:
         """Book the final answer: the one place where a request stops being owed one."""
         exchange.settled = True
+        if self._auth is not None:
+            self._ask_did(self._auth.left(self._now, exchange.ticket))
         self._open -= 1
         routed = exchange.routed
         fields: dict[str, Any] = {
@@ -290,6 +331,9 @@
         if isinstance(routed, Unroutable):
             self._turn_away(event, routed.status, routed.reason, named, None)
             return
+        guarded = routed if isinstance(routed, Guarded) else None
+        if isinstance(routed, Guarded):
+            routed = Routed(routed.cls, NOBODY, 0, "", routed.units, 1, 0)
         remaining = self._routes.deadline_ms(routed.cls, event.headers)
         if remaining is None:
             self._turn_away(event, 400, "bad deadline", named, None)
@@ -302,8 +346,92 @@
         self._exchanges[event.ticket] = self._rids[rid] = exchange
         self._open += 1
         self._timer(exchange.deadline, self._deadline, event.ticket)
-        self._tell(api.Request(rid, routed.cls.name, routed.plan.name, routed.customer, remaining, routed.units,
-                               routed.spread, routed.first))
+        if guarded is not None:
+            exchange.guarded = guarded
+            self._ask(exchange, guarded, remaining)
+        else:
+            self._admit(exchange, routed)
+
+    def _admit(self, exchange: Exchange, routed: Routed) -> None:
+        """Who the customer is is known: the module decides."""
+        exchange.routed, exchange.told = routed, True
+        self._tell(api.Request(exchange.rid, routed.cls.name, routed.plan.name, routed.customer,
+                               max(exchange.deadline - self._now, 0.0), routed.units, routed.spread, routed.first))
+
+    # Authentication -------------------------------------------------------------------------------------
+
+    def _ask(self, exchange: Exchange, guarded: Guarded, remaining: float) -> None:
+        """Wait for a verdict on the request's credential."""
+        assert self._auth is not None, "the settings' check lets no route authenticate without a service"
+        head = exchange.head
+        digest = hashlib.blake2b(digest_size=16)
+        sent: ev.Headers = []
+        for name, value in head.headers:
+            if name in self._credentials:
+                sent.append((name, value))
+                digest.update(b"%d %b %d %b " % (len(name), name, len(value), value))
+        if self._auth_by_target:
+            digest.update(head.method + b" " + head.target)
+        host = header(head.headers, b"host") or b""
+        sent += [(b"x-forwarded-method", head.method), (b"x-forwarded-proto", b"http"),
+                 (b"x-forwarded-host", host), (b"x-forwarded-uri", head.target),
+                 (b"x-forwarded-for", head.peer.encode()),
+                 (self._id_header, exchange.label.encode("latin-1", "replace"))]
+        group = header(head.headers, b"host") or b""
+        self._ask_did(self._auth.ask(self._now, exchange.ticket, digest.digest(), remaining,
+                                     group.decode("latin-1"), guarded.fail_open, sent))
+
+    def _ask_did(self, actions: list[auth.Action]) -> None:
+        for action in actions:
+            match action:
+                case auth.Start(check=check, attempt=attempt, service=service, payload=payload):
+                    self._out.append(ev.Ask(check, attempt, self._auth_services[service], self._auth_path, payload))
+                case auth.Stop(check=check, attempt=attempt):
+                    self._out.append(ev.StopAsking(check, attempt))
+                case auth.Allow(ticket=ticket, answer=answer):
+                    self._allowed(self._exchanges[ticket], answer)
+                case auth.Deny(ticket=ticket, answer=answer):
+                    self._denied(self._exchanges[ticket], answer)
+                case auth.Unsure(ticket=ticket, reason=reason, wait_ms=wait):
+                    self._answer(self._exchanges[ticket], UNAVAILABLE, reason.value, wait)
+
+    def _allowed(self, exchange: Exchange, answer: auth.Answer | None) -> None:
+        assert exchange.guarded is not None
+        if answer is None:
+            routed = self._routes.anonymous(exchange.guarded)
+        else:
+            exchange.verdict = answer
+            found = list(answer.headers)
+            key, plan = header(found, self._auth_customer), header(found, self._auth_plan)
+            routed = self._routes.identify(exchange.guarded, (key or b"").decode("latin-1").strip(),
+                                           (plan or b"").decode("latin-1").strip())
+        if isinstance(routed, Unroutable):
+            self._answer(exchange, routed.status, routed.reason, None)
+        else:
+            self._admit(exchange, routed)
+
+    def _denied(self, exchange: Exchange, answer: auth.Answer) -> None:
+        """The service's answer is the client's, also where the request waits for the counter by now."""
+        if exchange.told:
+            self._tell(api.Left(exchange.rid))
+        headers = [pair for pair in answer.headers if pair[0] in DENY_HEADERS]
+        headers += [(b"content-length", str(len(answer.body)).encode()), (b"x-reason", b"denied"),
+                    (self._id_header, exchange.label.encode("latin-1", "replace")), (b"via", self._via)]
+        self._settle(exchange, answer.status, "denied", None)
+        self._out.append(ev.Reply(exchange.ticket, answer.status, headers, answer.body))
+        self._forget(exchange)
+
+    def _checked(self, event: ev.Checked) -> None:
+        assert self._auth is not None
+        if event.status >= 500 or event.status < 200:  # a fault of the service is no verdict
+            self._ask_did(self._auth.failed(self._now, event.check, event.attempt))
+            return
+        answer = auth.Answer(event.status, tuple(event.headers), event.body, auth.keep_of(event.headers))
+        self._ask_did(self._auth.answered(self._now, event.check, event.attempt, answer))
+
+    def _check_failed(self, event: ev.CheckFailed) -> None:
+        assert self._auth is not None
+        self._ask_did(self._auth.failed(self._now, event.check, event.attempt))
 
     def _turn_away(self, event: ev.Arrived, status: int, reason: str, label: str, wait: float | None) -> None:
         """Answer what never reaches the module."""
@@ -318,7 +446,8 @@
         if exchange is None or exchange.settled:
             return
         self._settle(exchange, 0, "client left", None)
-        self._tell(api.Left(exchange.rid))
+        if exchange.told:
+            self._tell(api.Left(exchange.rid))
         attempt = exchange.attempt
         if attempt and attempt.open and (self._cancel or attempt.begun):
             self._stop(exchange, attempt, Verdict.CANCELLED)
@@ -415,6 +544,8 @@
         while self._timers and self._timers[0][0] <= self._now:
             what, words = heapq.heappop(self._timers)[2:]
             what(*words)
+        if self._auth is not None:
+            self._ask_did(self._auth.tick(self._now))
 
     def _due(self, token: int) -> None:
         self._tell(api.Due(token))
@@ -444,4 +575,5 @@
             self._stop(exchange, attempt, Verdict.TIMEOUT)
         if not exchange.settled:  # nothing was out: the module holds it, and can no longer be waited for
             self._answer(exchange, GATEWAY_TIMEOUT, "timed out", None)
-            self._tell(api.Left(exchange.rid))
+            if exchange.told:
+                self._tell(api.Left(exchange.rid))
--- a/martenstep/door/events.py
+++ b/martenstep/door/events.py
@@ -113,8 +113,27 @@
     """Time has passed: what is due is done."""
 
 
-Event = (Arrived | ClientLeft | BodyDropped | Written | AnswerHead | AnswerBegun | AnswerWhole | AttemptEnded
-         | Counted | Listed | Tick)
+@dataclass(slots=True)
+class Checked:
+    """An authentication service answered a check."""
+
+    check: int
+    attempt: int
+    status: int
+    headers: Headers
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class CheckFailed:
+    """A check's attempt gave no answer that can be read."""
+
+    check: int
+    attempt: int
+
+
+Event = (Arrived | ClientLeft | BodyDropped | Checked | CheckFailed | Written | AnswerHead | AnswerBegun | AnswerWhole
+         | AttemptEnded | Counted | Listed | Tick)
 
 # Actions ----------------------------------------------------------------------------------------------
 
@@ -178,6 +197,25 @@
     expire_ms: float
 
 
+@dataclass(slots=True)
+class Ask:
+    """Ask an authentication service."""
+
+    check: int
+    attempt: int
+    address: tuple[str, int]
+    target: bytes
+    headers: Headers
+
+
+@dataclass(slots=True)
+class StopAsking:
+    """Stop an attempt of a check and close its connection."""
+
+    check: int
+    attempt: int
+
+
 @dataclass(slots=True)
 class Tried:
     """A request was sent on for the first time: to be recorded, once."""
@@ -203,4 +241,4 @@
     fields: dict[str, Any]
 
 
-Action = Open | Abandon | Pass | Reply | Break | Add | Tried | Listen | Note
+Action = Ask | StopAsking | Open | Abandon | Pass | Reply | Break | Add | Tried | Listen | Note
--- a/martenstep/door/routes.py
+++ b/martenstep/door/routes.py
@@ -26,6 +26,15 @@
     first: int
 
 
+@dataclass(frozen=True, slots=True)
+class Guarded:
+    """A request whose customer an authentication service must tell first."""
+
+    cls: api.RequestClass
+    units: float
+    fail_open: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Unroutable:
     """Why it belongs nowhere: a status and a reason."""
@@ -42,6 +51,8 @@
     units: float
     header: bytes
     segment: int
+    authenticate: bool
+    fail_open: bool
 
 
 class Routes:
@@ -52,7 +63,7 @@
         self._plans = {entry.name: plan_of(entry) for entry in door.plan}
         self._doors = door.instances
         self._default = self._plans.get(door.default_plan)
-        self._customers = {
+        self._customers: dict[str, tuple[int, api.Plan, int, int]] = {
             entry.key: (customer_id(entry.key), self._plans[entry.plan], entry.doors or door.instances,
                         entry.first_door)
             for entry in door.customer
@@ -60,12 +71,13 @@
         self._rules = [
             _Rule(frozenset(method.encode() for method in entry.method), entry.path_prefix,
                   self._classes[getattr(entry, "class")], entry.units,
-                  entry.customer_header.lower().encode(), entry.customer_segment)
+                  entry.customer_header.lower().encode(), entry.customer_segment, entry.authenticate,
+                  entry.fail_open)
             for entry in door.route
         ]
         self._deadline = door.listener.deadline_header.lower().encode()
 
-    def route(self, method: bytes, target: bytes, headers: Headers) -> Routed | Unroutable:
+    def route(self, method: bytes, target: bytes, headers: Headers) -> Routed | Guarded | Unroutable:
         """The first rule that fits decides."""
         path = path_of(target)
         if path is None:
@@ -75,21 +87,39 @@
                 break
         else:
             return Unroutable(404, "no route")
+        if rule.authenticate:
+            return Guarded(rule.cls, rule.units, rule.fail_open)
         if rule.header:
             value = header(headers, rule.header)
             key = value.decode("latin-1").strip() if value else ""
         else:
             parts = path.split("/")
             key = unquote(parts[rule.segment]) if rule.segment < len(parts) else ""
+        return self._of(rule.cls, rule.units, key)
+
+    def _of(self, cls: api.RequestClass, units: float, key: str, named: api.Plan | None = None) -> Routed | Unroutable:
         if not key:
             return Unroutable(403, "no customer")
         known = self._customers.get(key)
         if known is None:
-            if self._default is None:
+            fallback = named or self._default
+            if fallback is None:
                 return Unroutable(403, "unknown customer")
-            known = customer_id(key), self._default, self._doors, 0
+            known = customer_id(key), fallback, self._doors, 0
         number, plan, spread, first = known
-        return Routed(rule.cls, plan, number, key, rule.units, spread, first)
+        return Routed(cls, named or plan, number, key, units, spread, first)
+
+    def identify(self, guarded: Guarded, key: str, plan: str) -> Routed | Unroutable:
+        """A guarded request, once a service has told who its customer is; a plan that is not known is the service's
+        fault, and the request fails rather than pass under another."""
+        named = self._plans.get(plan) if plan else None
+        if plan and named is None:
+            return Unroutable(502, "unknown plan")
+        return self._of(guarded.cls, guarded.units, key, named)
+
+    def anonymous(self, guarded: Guarded) -> Routed | Unroutable:
+        """A guarded request that passes without a verdict."""
+        return self._of(guarded.cls, guarded.units, "anonymous")
 
     def deadline_ms(self, cls: api.RequestClass, headers: Headers) -> float | None:
         """The least of the class's deadline and the one a header asks for; None where that is no figure."""
--- /dev/null
+++ b/tests/test_auth_door.py
@@ -0,0 +1,283 @@
+"""The door that asks an authentication service first: in virtual time, and on sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from martenstep.config.settings import parse_door
+from martenstep.config.text import Faults
+from martenstep.door import events as ev
+from martenstep.door.events import Ending
+from tests.door_rig import DOOR, QUIET, Rig, head
+from tests.socket_rig import Back, House, Peer, Script, get, house, run
+
+AUTH = """
+auth { service { port: 7001 } service { port: 7002 } attempt_ms: 300
+  copy_header: "x-auth-customer" copy_header: "x-role" }
+default_plan: "open"
+route { name: "safe" path_prefix: "/safe/" class: "read" authenticate: true }
+route { name: "loose" path_prefix: "/loose/" class: "read" authenticate: true fail_open: true }
+route { name: "bill" path_prefix: "/bill/" class: "pay" authenticate: true }
+"""
+YES: ev.Headers = [(b"x-auth-customer", b"anna"), (b"x-role", b"owner"), (b"x-secret", b"s")]
+
+
+class Door(Rig):
+    """A rig whose last check can be answered."""
+
+    def __init__(self, more: str = "") -> None:
+        super().__init__(AUTH + more)
+
+    def asked(self) -> ev.Ask:
+        return self.of(ev.Ask)[-1]
+
+    def verdict(self, status: int = 200, headers: ev.Headers | None = None, body: bytes = b"") -> list[ev.Action]:
+        told = self.asked()
+        return self.tell(ev.Checked(told.check, told.attempt, status, YES if headers is None else headers, body))
+
+
+def test_nothing_goes_to_a_server_without_a_verdict_and_identity_is_the_services() -> None:
+    rig = Door()
+    ticket = rig.ask("/safe/1", authorization="Bearer t", cookie="c=1", x_auth_customer="eve", x_role="admin",
+                     x_forwarded_uri="/else", accept="image/*")
+    assert not rig.of(ev.Open) and not rig.of(ev.Add)
+    asked = rig.asked()
+    told = dict(asked.headers)
+    assert asked.target == b"/auth" and told[b"authorization"] == b"Bearer t" and told[b"cookie"] == b"c=1"
+    assert told[b"x-forwarded-uri"] == b"/safe/1" and told[b"x-forwarded-method"] == b"GET"
+    assert told[b"x-forwarded-for"] == b"10.0.0.1" and b"accept" not in told and b"x-auth-customer" not in told
+    rig.verdict()
+    assert rig.of(ev.Add)  # anna's plan has a quota: the module decides on her
+    rig.count_all(1.0)
+    sent = rig.opened(ticket)
+    names = [(name, value) for name, value in sent.headers if name in (b"x-auth-customer", b"x-role", b"x-secret")]
+    assert names == [(b"x-auth-customer", b"anna"), (b"x-role", b"owner")]  # by the allow list, and only the service's
+    rig.serve(ticket)
+    assert len(rig.finals(ticket)) == 1 and rig.quiet() == QUIET and rig.engine.held["auth_passed"] == 0
+
+
+def test_underscored_twins_of_identity_headers_do_not_pass() -> None:
+    rig = Door()
+    ticket = rig._ticket = 1
+    rig.tell(ev.Arrived(1, b"GET", b"/safe/1", [(b"x_auth_customer", b"eve"), (b"x_role", b"admin")]))
+    rig.verdict(headers=[(b"x-auth-customer", b"free")])
+    assert head(rig.opened(ticket), "x_auth_customer") is None and head(rig.opened(ticket), "x_role") is None
+
+
+def test_anything_but_2xx_is_the_clients_answer() -> None:
+    rig = Door()
+    ticket = rig.ask("/safe/1", authorization="bad")
+    rig.verdict(401, [(b"www-authenticate", b"Bearer"), (b"server", b"x")], b"log in")
+    reply = rig.reply(ticket)
+    assert (reply.status, reply.body) == (401, b"log in")
+    assert head(reply, "www-authenticate") == "Bearer" and head(reply, "server") is None
+    redirected = rig.ask("/safe/1", authorization="none")
+    rig.verdict(302, [(b"location", b"/login")])
+    assert rig.reply(redirected).status == 302 and head(rig.reply(redirected), "location") == "/login"
+    assert not rig.of(ev.Open) and not rig.of(ev.Add) and rig.quiet() == QUIET
+
+
+def test_a_check_that_eats_its_part_of_the_time_is_answered_with_the_true_reason_and_uncharged() -> None:
+    rig = Door("auth { attempt_ms: 5000 }")
+    ticket = rig.ask("/safe/1", x_deadline_ms="1500", authorization="t")
+    rig.pass_time(749)
+    assert not rig.finals(ticket)
+    rig.pass_time(1)
+    reply = rig.reply(ticket)
+    assert reply.status == 503 and json.loads(reply.body)["reason"] == "check late" and head(reply, "retry-after")
+    rig.pass_time(650)  # 1.4 s of 1.5: too late, and nobody's
+    rig.verdict()
+    assert not rig.of(ev.Open) and not rig.of(ev.Add) and len(rig.finals(ticket)) == 1 and rig.quiet() == QUIET
+
+
+def test_a_service_that_fails_is_followed_by_another_then_the_route_fails_closed_or_open() -> None:
+    rig = Door()
+    closed, opened = rig.ask("/safe/1", authorization="a"), rig.ask("/loose/1", authorization="b")
+    for _ in range(2):
+        for asked in rig.of(ev.Ask)[-2:]:
+            rig.tell(ev.CheckFailed(asked.check, asked.attempt))
+    assert len(rig.of(ev.Ask)) == 4 and {asked.address[1] for asked in rig.of(ev.Ask)} == {7001, 7002}
+    assert json.loads(rig.reply(closed).body)["reason"] == "check failed"
+    rig.count_all(1.0)
+    assert rig.opened(opened) and head(rig.opened(opened), "x-auth-customer") is None
+
+
+def test_a_5xx_of_the_service_is_no_verdict() -> None:
+    rig = Door()
+    ticket = rig.ask("/safe/1")
+    rig.verdict(500, [])
+    assert not rig.finals(ticket) and len(rig.of(ev.Ask)) == 2
+    rig.verdict()
+    rig.count_all(1.0)
+    assert rig.opened(ticket)
+
+
+def test_an_unknown_plan_in_the_answer_fails_rather_than_passes() -> None:
+    rig = Door()
+    ticket = rig.ask("/safe/1")
+    rig.verdict(200, [(b"x-auth-customer", b"anna"), (b"x-auth-plan", b"gold")])
+    assert rig.reply(ticket).status == 502 and not rig.of(ev.Open)
+    nobody = rig.ask("/safe/1", authorization="x")
+    rig.verdict(200, [])
+    assert rig.reply(nobody).status == 403
+
+
+def test_a_credential_revoked_while_the_counter_is_asked_is_not_sent_on() -> None:
+    rig = Door()
+    waits = rig.ask("/safe/1", authorization="t")
+    rig.verdict()  # let pass; the counter is asked
+    assert rig.of(ev.Add) and not rig.of(ev.Open)
+    rig.ask("/safe/2", authorization="t")
+    rig.verdict(403, [], b"revoked")
+    assert rig.reply(waits).status == 403
+    rig.count_all(1.0)
+    assert not rig.of(ev.Open) and rig.quiet() == QUIET
+
+
+def test_the_client_leaves_while_its_check_is_out() -> None:
+    rig = Door()
+    ticket = rig.ask("/safe/1")
+    rig.tell(ev.ClientLeft(ticket))
+    assert rig.of(ev.StopAsking) and rig.quiet() == QUIET and rig.engine.held["auth_checks"] == 0
+    rig.verdict()
+    assert not rig.finals(ticket) and not rig.of(ev.Open)
+
+
+def test_a_stampede_asks_once_and_is_answered_each_once() -> None:
+    rig = Door("listener { max_open: 9000 }")
+    tickets = [rig.ask("/safe/1", authorization="same") for _ in range(5000)]
+    assert len(rig.of(ev.Ask)) == 1
+    rig.verdict(200, [(b"x-auth-customer", b"anna")])
+    rig.count_all(1000.0)
+    rig.pass_time(10_000)
+    assert all(len(rig.finals(ticket)) == 1 for ticket in tickets[::50]) and rig.quiet() == QUIET
+    assert len(rig.of(ev.Reply)) + len(rig.of(ev.Pass)) == 5000
+
+
+def test_an_unsafe_request_is_checked_once_for_all_its_attempts() -> None:
+    rig = Door()
+    ticket = rig.ask("/bill/1", authorization="t")
+    rig.verdict(200, [(b"x-auth-customer", b"free")])
+    rig.end(ticket, Ending.NOT_CONNECTED, written=False)
+    assert len(rig.of(ev.Open, ticket)) == 2 and len(rig.of(ev.Ask)) == 1
+
+
+@pytest.mark.parametrize(("text", "told"), [
+    ("route { name: 'x' class: 'read' authenticate: true }", "there is no auth to ask"),
+    ("auth { path: 'x' service { port: 1 } }", "expected a path that begins with"),
+    ("auth { }", "missing: at least one is needed"),
+    ("route { name: 'x' class: 'read' customer_header: 'y' fail_open: true }", "is of use only with authenticate"),
+    ("auth { service { port: 1 } share: 2 }", "expected from 0.01 to 1"),
+])
+def test_settings_are_checked(text: str, told: str) -> None:
+    with pytest.raises(Faults, match=told):
+        parse_door(DOOR + text, "d")
+
+
+# On sockets -----------------------------------------------------------------------------------------------
+
+
+@asynccontextmanager
+async def guarded(service: Script, *servers: Script, more: str = "") -> AsyncIterator[tuple[House, Back]]:
+    back = Back(service)
+    port = await back.start()
+    text = (f"auth {{ service {{ port: {port} }} attempts: 1 {more} }} default_plan: \"open\" "
+            'route { name: "safe" path_prefix: "/safe/" class: "read" authenticate: true }')
+    async with house(*servers, text=text) as door:
+        yield door, back
+    back.stop()
+
+
+async def serves(peer: Peer) -> None:
+    while True:
+        await peer.answer((await peer.head()).split()[1])
+
+
+async def allows(peer: Peer) -> None:
+    while True:
+        told = await peer.head()
+        who = told.split("authorization: ")[1].split()[0] if "authorization: " in told else ""
+        if who:
+            await peer.answer("", more=f"x-auth-customer: {who}\r\n")
+        else:
+            await peer.answer("who are you?", "401 Unauthorized", "www-authenticate: Basic\r\n")
+
+
+def test_a_request_passes_end_to_end_and_one_without_a_credential_does_not() -> None:
+    async def test() -> None:
+        async with guarded(allows, serves) as (door, _):
+            assert (await door.ask("/safe/1", "authorization: anna\r\n"))[2] == b"/safe/1"
+            status, told, body = await door.ask("/safe/1")
+            assert (status, body) == (401, b"who are you?") and "www-authenticate: basic" in told
+            assert (await door.ask("/read/1"))[0] == 200  # other routes ask nobody
+    run(test())
+
+
+def test_a_second_verdict_never_becomes_the_next_requests() -> None:
+    async def twice(peer: Peer) -> None:
+        while True:
+            told = await peer.head()
+            who = told.split("authorization: ")[1].split()[0]
+            if who == "anna":  # allows, and allows once more
+                await peer.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-auth-customer: anna\r\n\r\n" * 2)
+            else:
+                await peer.answer("no", "403 Forbidden")
+
+    async def test() -> None:
+        async with guarded(twice, serves) as (door, back):
+            for _ in range(3):
+                assert (await door.ask("/safe/1", "authorization: anna\r\n"))[0] == 200
+                assert (await door.ask("/safe/1", "authorization: eve\r\n"))[0] == 403
+            assert back.connections >= 3
+    run(test())
+
+
+@pytest.mark.parametrize("bad", [
+    "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhalf", "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nbad header\r\n\r\n",
+    "HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n", "",
+    "HTTP/1.1 200 OK\r\ncontent-length: 999999\r\n\r\n" + "x" * 200_000,
+])
+def test_an_answer_that_cannot_be_used_is_a_failure_and_never_a_pass(bad: str) -> None:
+    async def broken(peer: Peer) -> None:
+        await peer.head()
+        await peer.write(bad)
+
+    async def test() -> None:
+        async with guarded(broken, serves) as (door, _):
+            status, _, body = await door.ask("/safe/1", "authorization: anna\r\n")
+            assert status == 503 and json.loads(body)["reason"] == "check failed"
+    run(test())
+
+
+def test_1xx_before_the_verdict_and_a_dripping_one_are_read() -> None:
+    async def drips(peer: Peer) -> None:
+        await peer.head()
+        early, final = b"HTTP/1.1 103 Early Hints\r\n\r\n", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
+        for byte in early + final + b"x-auth-customer: a\r\n\r\nok":
+            await peer.write(bytes([byte]))
+            await asyncio.sleep(0)
+        await peer.rest()
+
+    async def test() -> None:
+        async with guarded(drips, serves) as (door, _):
+            assert (await door.ask("/safe/1", "authorization: a\r\n"))[0] == 200
+    run(test())
+
+
+def test_a_silent_service_costs_its_budget_and_no_connection_is_kept() -> None:
+    async def silent(peer: Peer) -> None:
+        await peer.rest()
+
+    async def test() -> None:
+        async with guarded(silent, serves, more="attempt_ms: 60") as (door, _):
+            peer = await door.client()
+            await peer.write(get("/safe/1"))
+            status, _, body = await peer.response()
+            assert status == 503 and json.loads(body)["reason"] == "check failed"
+            assert not door.driver._checks.pool.connections
+    run(test())
