--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -124,6 +124,16 @@
     asyncio.run(stand_in.run(port, lag_ms, trace))
 
 
+@standin.command("auth", epilog=_example("martenstep standin auth --max-age-s 5"))
+@PORT
+@click.option("--max-age-s", type=click.IntRange(min=0), default=0, help="How long its good answers may be kept.")
+@TRACE
+def auth(port: int, max_age_s: int, trace: Path | None) -> None:
+    """An authentication service."""
+    from martenstep.standins import auth as stand_in
+    asyncio.run(stand_in.run(port, max_age_s, trace))
+
+
 @standin.command("clients", epilog=_example("martenstep standin clients plan.jsonl --manners '{\"ports\": [8080]}'"))
 @click.argument("schedule", type=click.Path(path_type=Path, exists=True))
 @click.option("--manners", required=True, help="How they behave, as JSON.")
--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -20,6 +20,8 @@
 
 DOOR_TROUBLES = (pb.DOOR_KILLED, pb.DOOR_ROLLED, pb.DOOR_CUT_FROM_FEED)
 STORE_TROUBLES = (pb.STORE_PAUSED, pb.STORE_EMPTIED, pb.STORE_SLOW, pb.STORE_DOWN, pb.COUNTER_KILLED)
+AUTH_TROUBLES = (pb.AUTH_SLOW, pb.AUTH_SILENT, pb.AUTH_ERRORS, pb.AUTH_RESETS, pb.AUTH_TWICE, pb.AUTH_BROKEN,
+                 pb.AUTH_CONTRADICTS, pb.AUTH_DOWN, pb.AUTH_DRIPS)
 FEED_TROUBLES = (pb.FEED_STALE, pb.FEED_PARTIAL, pb.FEED_DOWN)
 LEAVES_BY = 0.1  # parts of the aim: a client that leaves does so while its request is on its way
 KINDS = ("standard", "slow")
@@ -40,6 +42,11 @@
     check.number(event, node, "share", 0, 1)
     check.number(event, node, "factor", 0, 1e6)
     number = day.fleet.doors if event.trouble in DOOR_TROUBLES else day.fleet.servers
+    if event.trouble in AUTH_TROUBLES:
+        number = day.auth_services.number if day.HasField("auth_services") else 0
+        if not number:
+            check.fault(node.at("trouble"), "fits only a day with auth_services")
+            return
     if event.trouble in STORE_TROUBLES + FEED_TROUBLES:
         if event.trouble == pb.COUNTER_KILLED:
             check.number(event, node, "count", 1, 10_000)
@@ -179,9 +186,19 @@
     door.rules.CopyFrom(day.rules)
     door.plan.extend(day.plan)
     getattr(door, "class").extend(getattr(day, "class"))
+    guarded = day.HasField("auth_services")
+    if guarded:
+        door.auth.CopyFrom(day.auth)
+        door.auth.copy_header.append("x-auth-customer")
+        for service in range(day.auth_services.number):
+            door.auth.service.add(port=ports[f"auth-{service}"])
     for work in day.work:
         name = getattr(work, "class")
-        route = door.route.add(name=name, path_prefix=f"/{name}/", units=work.units, customer_header="x-customer")
+        route = door.route.add(name=name, path_prefix=f"/{name}/", units=work.units)
+        if guarded:
+            route.authenticate = True
+        else:
+            route.customer_header = "x-customer"
         setattr(route, "class", name)
     for group in customers_of(day):
         for customer in group:
@@ -273,9 +290,14 @@
             clients = day.clients
             patience = cls.deadline_ms * rng.uniform(clients.least_patience, clients.most_patience)
             leave = rng.uniform(1.0, LEAVES_BY * cls.aim_ms) if rng.random() < clients.leave_share else 0.0
+            credential = ""
+            if day.HasField("auth_services"):
+                bad = rng.random() < day.auth_services.bad_share
+                credential = f"Basic guess-{number}" if bad else f"Bearer {customer.key}"
             yield Planned(at_ms=round(at, 3), rid=f"r{number}", customer=customer.key, cls=cls.name,
                           units=work.units, doors=doors, patience_ms=round(patience, 3), body=work.body_bytes,
-                          leave_ms=round(leave, 3), abuse=bool(clients.abuse_plan) and group.plan == clients.abuse_plan)
+                          leave_ms=round(leave, 3), credential=credential,
+                          abuse=bool(clients.abuse_plan) and group.plan == clients.abuse_plan)
             number += 1
         start += phase.for_ms
         if not phase.only_plan:
--- a/martenstep/lab/play.py
+++ b/martenstep/lab/play.py
@@ -117,6 +117,12 @@
         self._redis = self._store()
         self._feed = self._process("feed", ["standin", "feed", "--lag-ms", str(fleet.feed_lag_ms),
                                             "--trace", str(out / "feed.jsonl")])
+        self._auth: dict[int, Process] = {}
+        if day.HasField("auth_services"):
+            for number in range(day.auth_services.number):
+                self._auth[number] = self._process(f"auth-{number}", [
+                    "standin", "auth", "--max-age-s", str(day.auth_services.max_age_s),
+                    "--trace", str(out / f"auth-{number}.jsonl")])
         self._clients: Process | None = None
         self._started = [0.0] * fleet.servers  # of each server, in the feed's terms
         self._tasks: list[asyncio.Task[None]] = []
@@ -140,7 +146,8 @@
     async def open(self) -> None:
         """Start everything."""
         self._progress(0.0, "starting")
-        await asyncio.gather(self._redis.start(), self._feed.start())
+        await asyncio.gather(self._redis.start(), self._feed.start(),
+                             *(process.start() for process in self._auth.values()))
         for number in range(self._day.fleet.servers):
             self._servers[number] = self._server(number, cold=False)
         await asyncio.gather(*(process.start() for process in self._servers.values()))
@@ -167,6 +174,7 @@
     def _door(self, number: int) -> Process:
         ports = {"listener": self._door_ports[number], "admin": self._admin_ports[number],
                  "store": self._counter_port or self._redis.ready["port"], "feed": self._feed.ready["port"]}
+        ports.update({f"auth-{service}": process.ready["port"] for service, process in self._auth.items()})
         door = door_settings(self._day, number, ports, (self._out / f"door-{number}.members.json").absolute())
         file = self._out / f"door-{number}.txtpb"
         file.write_text(written(door), encoding="utf-8")
@@ -217,7 +225,9 @@
         name = pb.Trouble.Name(event.trouble)
         number = self._day.fleet.doors if name.startswith("DOOR") else self._day.fleet.servers
         targets = list(event.target) or list(range(min(event.count, number)))
-        if name.startswith(("STORE", "FEED")):
+        if name.startswith("AUTH"):
+            targets = list(event.target) or list(self._auth)
+        if name.startswith(("STORE", "FEED", "COUNTER")):
             targets = []
         self._events.write("trouble", name=name, targets=targets, on=True)
         await getattr(self, f"_{name.lower()}")(event, targets)
@@ -329,6 +339,46 @@
                 self._started[number] = time.time() * 1000
             await self._tell(targets, "up")
 
+    # Authentication -------------------------------------------------------------------------------------
+
+    async def _auth_trouble(self, event: pb.Event, targets: list[int], do: str, on: dict[str, Any],
+                            off: dict[str, Any]) -> None:
+        for number in targets:
+            await steer(self._auth[number].ready["control"], do, **on)
+        if await self._last(event):
+            for number in targets:
+                await steer(self._auth[number].ready["control"], do, **off)
+
+    async def _auth_slow(self, event: pb.Event, targets: list[int]) -> None:
+        await self._auth_trouble(event, targets, "delay", {"ms": event.factor}, {"ms": 0.0})
+
+    async def _auth_silent(self, event: pb.Event, targets: list[int]) -> None:
+        await self._auth_trouble(event, targets, "silent", {"on": True}, {"on": False})
+
+    async def _auth_down(self, event: pb.Event, targets: list[int]) -> None:
+        await self._auth_trouble(event, targets, "down", {"on": True}, {"on": False})
+
+    async def _auth_share(self, event: pb.Event, targets: list[int], do: str) -> None:
+        await self._auth_trouble(event, targets, do, {"share": event.share}, {"share": 0.0})
+
+    async def _auth_errors(self, event: pb.Event, targets: list[int]) -> None:
+        await self._auth_share(event, targets, "errors")
+
+    async def _auth_resets(self, event: pb.Event, targets: list[int]) -> None:
+        await self._auth_share(event, targets, "resets")
+
+    async def _auth_twice(self, event: pb.Event, targets: list[int]) -> None:
+        await self._auth_share(event, targets, "twice")
+
+    async def _auth_broken(self, event: pb.Event, targets: list[int]) -> None:
+        await self._auth_share(event, targets, "broken")
+
+    async def _auth_contradicts(self, event: pb.Event, targets: list[int]) -> None:
+        await self._auth_share(event, targets, "contradicts")
+
+    async def _auth_drips(self, event: pb.Event, targets: list[int]) -> None:
+        await self._auth_share(event, targets, "drips")
+
     # Store and feed -------------------------------------------------------------------------------------
 
     async def _store_paused(self, event: pb.Event, targets: list[int]) -> None:
@@ -378,7 +428,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         first = [process for process in (self._clients, *self._doors.values()) if process is not None]
         await asyncio.gather(*(process.stop() for process in first))
-        rest = [*self._servers.values(), self._redis, self._feed]
+        rest = [*self._servers.values(), *self._auth.values(), self._redis, self._feed]
         await asyncio.gather(*(process.stop() for process in rest))
         for log in self._logs:
             log.close()
--- a/martenstep/lab/report.py
+++ b/martenstep/lab/report.py
@@ -16,12 +16,14 @@
 from martenstep.lab import day_pb2 as pb
 from martenstep.lab.day import load_day
 from martenstep.lab.rules import (
+    CHECKED,
     RECORDED,
     REFUSED,
     RULES,
     SERVED_BELOW,
     Judge,
     Traffic,
+    checked,
     gather,
     read_lines,
     recorded,
@@ -57,7 +59,9 @@
         if end["what"] != "answer":
             other[end["what"]] += 1
             continue
-        if end["status"] < SERVED_BELOW and end["status"] not in REFUSED:
+        if end["reason"] == "denied":
+            other["denied"] += 1
+        elif end["status"] < SERVED_BELOW and end["status"] not in REFUSED:
             served += 1
             took = end["t"] - tried.at
             times.append(took)
@@ -98,8 +102,12 @@
         except (LogError, LockedError, OSError) as error:
             raise TraceError(f"{folder}: {error}") from None
         breaches += recorded(traffic, exported)
+    guarded = day.HasField("auth_services")
+    if guarded:
+        verdicts = [line for path in sorted(folder.glob("auth-*.jsonl")) for line in read_lines(path)]
+        breaches += checked(traffic, verdicts, day.judge_slack_ms)
     rules = {}
-    for rule in (*RULES, RECORDED) if day.own_counter else RULES:
+    for rule in (*RULES, *([RECORDED] if day.own_counter else []), *([CHECKED] if guarded else [])):
         found = [breach for breach in breaches if breach.rule == rule]
         rules[rule] = {"kept": not found, "breaches": len(found),
                        "first": [msgspec.to_builtins(breach) for breach in found[:SHOWN]]}
--- a/martenstep/lab/rules.py
+++ b/martenstep/lab/rules.py
@@ -23,6 +23,7 @@
 
 ANSWERED, DOUBLE, DRAINS, COLD, CEILINGS = "answered", "no effect twice", "drains", "cold servers", "ceilings"
 RECORDED = "tries recorded"  # of a day with the project's own counter
+CHECKED = "verdicts"  # of a day with authentication services
 RULES = (ANSWERED, DOUBLE, DRAINS, COLD, CEILINGS)
 REFUSED, SERVED_BELOW = (429, 503), 500
 TOLD_SHARE = 2 / 3  # of the work that pushed a cold server over: from doors that had been told of its start
@@ -51,6 +52,7 @@
     door: str
     key: str
     at: float
+    customer: str = ""  # as the door named it
     ran: bool = False
     end: float = math.inf  # its answer was written, or its connection closed
     how: str = ""
@@ -67,6 +69,7 @@
     units: float
     at: float
     deadline_ms: float
+    bad: bool = False  # its credential is none
     ends: list[Line] = field(default_factory=list)
     visits: list[Visit] = field(default_factory=list)
 
@@ -101,7 +104,7 @@
         what = line["what"]
         if what == "try":
             traffic.tries[line["rid"]] = Try(line["rid"], line["door"], line["customer"], line["cls"], line["units"],
-                                             line["t"], line["deadline_ms"])
+                                             line["t"], line["deadline_ms"], line.get("bad", False))
         elif what in FINAL and line["rid"] in traffic.tries:
             traffic.tries[line["rid"]].ends.append(line)
     open_visits: dict[tuple[str, int, int], Visit] = {}
@@ -113,7 +116,8 @@
             continue
         where = line["rid"], line["attempt"], line["server"]
         if what == "arrive":
-            visit = Visit(line["rid"], line["attempt"], line["server"], line["door"], line["key"], line["t"])
+            visit = Visit(line["rid"], line["attempt"], line["server"], line["door"], line["key"], line["t"],
+                          line.get("customer", ""))
             open_visits[where] = visit
             traffic.visits.append(visit)
             if line["rid"] in traffic.tries:
@@ -169,6 +173,25 @@
                          (tried.visits[0].at,))
 
 
+def checked(traffic: Traffic, verdicts: Iterable[Line], slack: float) -> Iterable[Breach]:
+    """Nothing at a server without a positive verdict on that request's credential: given before it came, and no
+    longer ago than the request's own time and the time that the service let it be kept.  And nothing under another
+    customer's name."""
+    given: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    for line in verdicts:
+        if line["what"] == "verdict" and 200 <= line["status"] < 300:
+            given[line["customer"]].append((line["t"], line["max_age"] * 1000.0))
+    for tried in traffic.tries.values():
+        for visit in tried.visits:
+            if visit.customer != tried.customer:
+                yield Breach(CHECKED, f"sent on as {visit.customer!r}, made by {tried.customer!r}", tried.rid,
+                             (visit.server,), (visit.at,))
+            elif tried.bad or not any(at <= visit.at + slack and visit.at <= at + keep + tried.deadline_ms + slack
+                                      for at, keep in given[tried.customer]):
+                yield Breach(CHECKED, "reached a server without a positive verdict on its credential", tried.rid,
+                             (visit.server,), (visit.at,))
+
+
 class Judge:
     """The rules on one day's traffic."""
 
--- a/martenstep/standins/clients.py
+++ b/martenstep/standins/clients.py
@@ -34,6 +34,7 @@
     patience_ms: float
     body: int = 0
     leave_ms: float = 0.0  # goes away after this; 0: waits
+    credential: str = ""  # given as it is; empty: none
     abuse: bool = False
 
 
@@ -98,7 +99,8 @@
         """One try; gives whether the client may repeat it, and the advice it got."""
         patience = planned.patience_ms
         self._trace.write("try", rid=rid, door=door, customer=planned.customer, cls=planned.cls,
-                          units=planned.units, deadline_ms=patience, first=planned.rid, number=number)
+                          units=planned.units, deadline_ms=patience, first=planned.rid, number=number,
+                          bad=bool(planned.credential) and not planned.credential.endswith(planned.customer))
         wire: _Wire | None = None
         seen: list[int] = []  # the status, as soon as the head has come
         safe = planned.cls in self._manners.repeat_after_failure
@@ -144,6 +146,8 @@
         door = wire
         headers = [("host", "door"), ("x-request-id", rid), ("x-customer", planned.customer),
                    ("x-deadline-ms", f"{patience:.3f}")]
+        if planned.credential:
+            headers.append(("authorization", planned.credential))
         if planned.body:
             headers.append(("content-length", str(planned.body)))
         method = "POST" if planned.body else "GET"
--- a/martenstep/standins/photo.py
+++ b/martenstep/standins/photo.py
@@ -231,8 +231,8 @@
         work = self.config.work.get(cls, WorkOf())
         ms = self._rng.uniform(work.least_ms, work.most_ms)
         now = now_ms()
-        self._trace.write("arrive", **told, cls=cls, key=key, customer=headers.get(b"x-customer", b"").decode(),
-                          body=body)
+        customer = headers.get(b"x-auth-customer", headers.get(b"x-customer", b"")).decode("latin-1")
+        self._trace.write("arrive", **told, cls=cls, key=key, customer=customer, body=body)
         if self._fallen:
             writer.transport.abort()
             return False
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -13,12 +13,14 @@
 from martenstep.lab.rules import (
     ANSWERED,
     CEILINGS,
+    CHECKED,
     COLD,
     DOUBLE,
     DRAINS,
     RECORDED,
     Breach,
     Judge,
+    checked,
     gather,
     recorded,
 )
@@ -280,6 +282,27 @@
     assert story.judged() == []
 
 
+def test_nothing_may_reach_a_server_without_a_verdict_of_its_time() -> None:
+    def verdict(at: float, status: int = 200, customer: str = "basic-0-1", keep_s: int = 0) -> Line:
+        return {"t": at, "what": "verdict", "customer": customer, "status": status, "max_age": keep_s, "rid": ""}
+
+    story = sound()  # sent at 1010, its try made at 1000 with 1000 ms to go
+    story.servers[0]["customer"] = "basic-0-1"
+    traffic = gather(story.clients, story.servers, story.feed, story.events)
+    for verdicts, broken in (([verdict(1005)], False), ([], True), ([verdict(1005, 403)], True),
+                             ([verdict(1040)], True),  # it came too late, by more than the clocks' slack
+                             ([verdict(1005, customer="basic-0-2")], True),
+                             ([verdict(-2000, keep_s=1)], True), ([verdict(-2000, keep_s=3)], False)):
+        assert bool(list(checked(traffic, verdicts, 20.0))) is broken, verdicts
+    story.servers[0]["customer"] = "basic-0-2"
+    [breach] = checked(gather(story.clients, story.servers, story.feed, story.events), [verdict(1005)], 20.0)
+    assert "sent on as 'basic-0-2'" in breach.text
+    story.servers[0]["customer"] = "basic-0-1"
+    story.clients[0]["bad"] = True
+    [breach] = checked(gather(story.clients, story.servers, story.feed, story.events), [verdict(1005)], 20.0)
+    assert breach.rule == CHECKED and breach.rid == "r1.0"
+
+
 def test_a_folder_is_judged_alone_and_its_result_is_kept(tmp_path: Path) -> None:
     story = sound()
     story.visit(1100, 1105, attempt=1, server=2)
