The door as the one that is asked: forward authentication for edge proxies

Change: forward_auth {} in place of members: a sub-request is read by the proxy's profile (Traefik and Caddy, nginx, Envoy), from trusted peers only, doubled or underscored twins turned away; the module decides against the quota and its Send is the sub-request's 200, with the Outcome that is owed told at once; RateLimit fields and the customer on the answer.

--- a/bench/light.py
+++ b/bench/light.py
@@ -27,10 +27,32 @@
             self._transport.write(ANSWER * count)
 
 
-async def serve(count: int) -> None:
+class Verdicts(Server):
+    """Lets every request pass, as one customer; the answer may be kept where the port's name says so."""
+
+    keep_s = 0
+    delay_s = 0.0
+
+    def data_received(self, data: bytes) -> None:
+        count = data.count(b"\r\n\r\n")
+        answer = (b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-auth-customer: c1\r\ncache-control: max-age=%d\r\n\r\n"
+                  % self.keep_s) * count
+        if self.delay_s:
+            asyncio.get_running_loop().call_later(self.delay_s, self._transport.write, answer)
+        else:
+            self._transport.write(answer)
+
+
+class Kept(Verdicts):
+    """Whose answers may be kept for ten seconds."""
+
+    keep_s = 10
+
+
+async def serve(count: int, kind: type[Server] = Server) -> None:
     """So many servers in one process; tells their ports."""
     loop = asyncio.get_running_loop()
-    servers = [await loop.create_server(Server, "127.0.0.1", 0, backlog=1024) for _ in range(count)]
+    servers = [await loop.create_server(kind, "127.0.0.1", 0, backlog=1024) for _ in range(count)]
     sys.stdout.write(json.dumps([server.sockets[0].getsockname()[1] for server in servers]) + "\n")
     sys.stdout.flush()
     await asyncio.Event().wait()
@@ -46,7 +68,8 @@
 
     async def _ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, began: float) -> None:
         customer = self._rng.randrange(self._customers)
-        writer.write(b"GET /read/1 HTTP/1.1\r\nhost: door\r\nx-customer: c%d\r\n\r\n" % customer)
+        writer.write(b"GET /read/1 HTTP/1.1\r\nhost: door\r\nx-customer: c%d\r\nauthorization: Bearer c%d\r\n\r\n"
+                     % (customer, customer))
         head = await reader.readuntil(b"\r\n\r\n")
         at = head.lower().index(b"content-length:") + 15
         await reader.readexactly(int(head[at:head.index(b"\r\n", at)]))
@@ -102,8 +125,10 @@
 def main() -> None:
     """`python -m bench.light serve|load`."""
     parser = argparse.ArgumentParser()
-    kinds = parser.add_subparsers(dest="kind", required=True)
-    kinds.add_parser("serve").add_argument("--count", type=int, default=14)
+    kinds = parser.add_subparsers(dest="what", required=True)
+    serving = kinds.add_parser("serve")
+    serving.add_argument("--count", type=int, default=14)
+    serving.add_argument("--kind", choices=["server", "verdicts", "kept"], default="server")
     loads = kinds.add_parser("load")
     loads.add_argument("--port", type=int, required=True)
     loads.add_argument("--connections", type=int, default=48)
@@ -112,7 +137,10 @@
     loads.add_argument("--customers", type=int, default=1000)
     loads.add_argument("--seed", type=int, default=1)
     words = parser.parse_args()
-    asyncio.run(serve(words.count) if words.kind == "serve" else load(words))
+    if words.what == "serve":
+        asyncio.run(serve(words.count, {"server": Server, "verdicts": Verdicts, "kept": Kept}[words.kind]))
+    else:
+        asyncio.run(load(words))
 
 
 if __name__ == "__main__":
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -29,7 +29,8 @@
 class {{ name: "read" aim_ms: 1500 deadline_ms: 4000 }}
 plan {{ {plan} }}
 default_plan: "p"
-route {{ path_prefix: "/read/" class: "read" customer_header: "x-customer" }}
+{auth}
+route {{ path_prefix: "/read/" class: "read" {identity} }}
 """
 CORE, SERVERS, LOADS, OTHERS = 0, "1,2", ("3", "4"), "5"
 WARM_S = 1.5
@@ -66,6 +67,11 @@
     try:
         servers, ports = start(SERVERS, "-m", "bench.light", "serve", "--count", str(count))
         made.append(servers)
+        services = []
+        for kind in ("verdicts", "kept"):
+            auth, [service] = start("7", "-m", "bench.light", "serve", "--count", "1", "--kind", kind)
+            made.append(auth)
+            services.append(service)
         feed, told = start(OTHERS, "-m", "martenstep", "standin", "feed")
         made.append(feed)
         redis, store = start("6", "-m", "martenstep", "standin", "redis")
@@ -76,7 +82,7 @@
 
         from martenstep.standins.base import steer
         asyncio.run(steer(told["ready"]["control"], "update", servers=entries, now=True))
-        yield ports, told["ready"]["port"], store["ready"]["port"]
+        yield ports + services, told["ready"]["port"], store["ready"]["port"]
     finally:
         for process in made:
             process.kill()
@@ -86,11 +92,14 @@
 def subject(kind: str, ports: list[int], feed: int, store: int, folder: Path) -> Started:
     """Start what is measured."""
     if kind == "pass-through":
-        return start(str(CORE), "-m", "bench.passthrough", json.dumps(ports))
+        return start(str(CORE), "-m", "bench.passthrough", json.dumps(ports[:-2]))
     plan = 'name: "p"' if "no quota" in kind else 'name: "p" rate: 100000 burst: 200000'
     told = f"store {{ port: {store} timeout_ms: 50 }}" if "store" in kind else ""
     file = folder / f"{kind.replace(' ', '-')}.txtpb"
-    file.write_text(DOOR.format(store=told, feed=feed, plan=plan))
+    kept = "auth, kept" in kind
+    guarded = f"auth {{ service {{ port: {ports[-1 if kept else -2]} }} waiting: 20000 }}" if "auth" in kind else ""
+    identity = "authenticate: true" if guarded else 'customer_header: "x-customer"'
+    file.write_text(DOOR.format(store=told, feed=feed, plan=plan, auth=guarded, identity=identity))
     return start(str(CORE), "-m", "martenstep", "serve", str(file), *(["--uvloop"] if "uvloop" in kind else []))
 
 
--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import ipaddress
 import math
 from collections.abc import Callable, Iterable, Sequence
 from pathlib import Path
@@ -211,8 +212,22 @@
         node = root.at("members")
         check.port(door.members, node, any_free=False)
         check.above_zero(door.members, node, "wait_ms")
-    else:
+    elif not door.HasField("forward_auth"):
         check.fault(root.at("members"), "missing: a door needs a feed of its servers")
+    if door.HasField("forward_auth"):
+        node = root.at("forward_auth")
+        if door.HasField("members"):
+            check.fault(node, "given beside members: a door that is asked sends nothing on")
+        if not door.forward_auth.path_prefix.startswith("/"):
+            check.fault(node.at("path_prefix"), "expected a path that begins with '/'")
+        for peer, at in zip(door.forward_auth.trusted_peer, node.all("trusted_peer"), strict=True):
+            try:
+                ipaddress.ip_network(peer)
+            except ValueError as error:
+                check.fault(at, str(error))
+        for entry, at in zip(getattr(door, "class"), root.all("class"), strict=True):
+            if entry.effect != pb.SAFE:
+                check.fault(at.at("effect"), "a sub-request has no effect: SAFE is all that fits")
 
 
 def check_door(check: Checker, door: pb.Door, root: Node) -> None:
--- a/martenstep/door/daemon.py
+++ b/martenstep/door/daemon.py
@@ -54,9 +54,10 @@
             self._counter = Shards(self._counter_clients())
             self._counter.start()
             self.driver.add, self.driver.record = self._counter.add, self._tried
-        self._feed.warm()
-        self._feeding = asyncio.create_task(self._feed.run())
-        self._feeding.add_done_callback(self._feed_ended)
+        if self.door.HasField("members"):
+            self._feed.warm()
+            self._feeding = asyncio.create_task(self._feed.run())
+            self._feeding.add_done_callback(self._feed_ended)
         if self.door.HasField("admin"):
             self.ports["admin"] = await self._admin.start(self.door.admin.host, self.door.admin.port)
         self.ports["listener"] = await self.driver.start()
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -18,6 +18,7 @@
 
 from martenstep import interface as api
 from martenstep.auth import core as auth
+from martenstep.auth.answerer import Answerer, Unasked
 from martenstep.config import door_pb2 as pb
 from martenstep.config.settings import ERROR_STATUS, module_settings
 from martenstep.decide import Gateway
@@ -30,6 +31,7 @@
 FULL_HOUSE_WAIT_MS = 1000.0  # retry-after where the door holds all it may: about the time a request takes
 COUNT_GRACE_MS = 1.0  # the store answers its time-outs itself; this long after them the engine does
 ID_BYTES = 200  # of a client's request id at most: longer ones are cut
+EDGE = 0  # the number of the edge proxy as a server
 NOBODY = api.Plan("")  # of a request whose customer is not known yet
 # Of a denying answer, what a client needs to do better: where to log in, and how.
 DENY_HEADERS = frozenset((b"content-type", b"www-authenticate", b"location", b"set-cookie", b"retry-after",
@@ -105,6 +107,11 @@
                                                     told.plan_header.lower().encode())
             # What only the service may say: a client that says it itself is not heard.
             self._auth_only = self._auth_copies | {self._auth_customer, self._auth_plan}
+        # Asked by an edge proxy: what the module sends on goes to the proxy itself, the one server there is.
+        self._answerer = Answerer(door.forward_auth) if door.HasField("forward_auth") else None
+        if self._answerer is not None:
+            edge = api.Server(EDGE, door.zone, "edge", 0, api.State.UP)
+            self._gateway.handle(0.0, api.Members(api.Scope.FULL, (edge,)))
         self._exchanges: dict[int, Exchange] = {}  # by ticket, while anything of them is left
         self._rids: dict[str, Exchange] = {}
         self._open = 0  # requests without a final answer
@@ -210,6 +217,9 @@
         exchange = self._rids[action.id]
         number = len(exchange.servers)
         exchange.servers.append(action.server)
+        if self._answerer is not None:
+            self._let_pass(exchange, number, action)
+            return
         if self._records and number == 0:
             routed = exchange.routed
             self._out.append(ev.Tried(exchange.label, routed.key, routed.plan.name, routed.cls.name, routed.units,
@@ -244,6 +254,23 @@
         self._out.append(ev.Open(exchange.ticket, number, action.server, address, head.method, head.target,
                                  headers))
 
+    def _let_pass(self, exchange: Exchange, number: int, action: api.Send) -> None:
+        """The edge proxy may forward the request: that is the sub-request's answer, and the outcome that is owed.  How
+        the request itself ends never comes back here: the module learns of no latency and no failure, so its brake
+        stays open, and what it keeps is quota and ceiling."""
+        routed = exchange.routed
+        if self._records:
+            self._out.append(ev.Tried(exchange.label, routed.key, routed.plan.name, routed.cls.name, routed.units,
+                                      action.beyond))
+        headers: ev.Headers = [(b"content-length", b"0"), *self._limits(routed),
+                               (b"x-customer", routed.key.encode("latin-1", "replace")),
+                               (b"x-plan", routed.plan.name.encode()),
+                               (self._id_header, exchange.label.encode("latin-1", "replace")), (b"via", self._via)]
+        self._settle(exchange, 200, "let pass", None)
+        self._out.append(ev.Reply(exchange.ticket, 200, headers, b""))
+        self._forget(exchange)
+        self._tell(api.Outcome(exchange.rid, number, action.server, Verdict.OK, self._now - exchange.arrived, True))
+
     def _outcome(self, exchange: Exchange, attempt: Attempt, verdict: Verdict, ended: bool) -> None:
         """End an attempt; the one place that does."""
         attempt.open = False
@@ -327,7 +354,14 @@
         self._serial += 1
         rid = f"{self._serial:x}"
         named = label.decode("latin-1")[:ID_BYTES] if label else f"{self._name}-{self._seed:x}-{rid}"
-        routed = self._routes.route(event.method, event.target, event.headers)
+        method, target = event.method, event.target
+        if self._answerer is not None:
+            about = self._answerer.read(method, target, event.headers, event.peer)
+            if isinstance(about, Unasked):
+                self._turn_away(event, about.status, about.reason, named, None)
+                return
+            method, target = about.method, about.target
+        routed = self._routes.route(method, target, event.headers)
         if isinstance(routed, Unroutable):
             self._turn_away(event, routed.status, routed.reason, named, None)
             return
