--- a/martenstep/auth/answerer.py
+++ b/martenstep/auth/answerer.py
@@ -2,8 +2,8 @@
 
 Written from the proxies' public documentation: Traefik's ForwardAuth and Caddy's forward_auth tell method and URI in
 X-Forwarded-Method and X-Forwarded-Uri; nginx's auth_request tells what the operator sets, by custom X-Original-Method
-and X-Original-URI (the request's URI) or X-Original-URL (the whole URL); Envoy's ext_authz over HTTP sends the request's
-own method, and its path behind a prefix.
+and X-Original-URI (the request's URI) or X-Original-URL (the whole URL); Envoy's ext_authz over HTTP sends the
+request's own method, and its path behind a prefix.
 """
 
 from __future__ import annotations
