--- a/martenstep/auth/core.py
+++ b/martenstep/auth/core.py
@@ -17,7 +17,7 @@
 
 import heapq
 import random
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -158,6 +158,51 @@
         return self.out < (1 if self.opened else max(int(self.limit), 1))
 
 
+class Crowd:
+    """The asks that wait for a check to begin, by group: the oldest of the largest group at hand, each step in constant
+    time, however many groups there are."""
+
+    def __init__(self) -> None:
+        self._groups: dict[str, OrderedDict[int, _Ask]] = {}
+        self._sizes: dict[int, OrderedDict[str, None]] = {}
+        self._largest = 0
+        self.total = 0
+
+    def _move(self, group: str, old: int, new: int) -> None:
+        if old:
+            at = self._sizes[old]
+            del at[group]
+            if not at:
+                del self._sizes[old]
+        if new:
+            self._sizes.setdefault(new, OrderedDict())[group] = None
+        self._largest = max(self._largest, new)
+        while self._largest and self._largest not in self._sizes:
+            self._largest -= 1
+
+    def add(self, ask: _Ask) -> None:
+        """One more waits."""
+        asks = self._groups.setdefault(ask.group, OrderedDict())
+        asks[ask.ticket] = ask
+        self.total += 1
+        self._move(ask.group, len(asks) - 1, len(asks))
+
+    def remove(self, ask: _Ask) -> None:
+        """One waits no longer; nothing where it did not."""
+        asks = self._groups.get(ask.group)
+        if asks is None or asks.pop(ask.ticket, None) is None:
+            return
+        self.total -= 1
+        self._move(ask.group, len(asks) + 1, len(asks))
+        if not asks:
+            del self._groups[ask.group]
+
+    def oldest_of_largest(self) -> _Ask:
+        """Who gives way."""
+        group = next(iter(self._sizes[self._largest]))
+        return next(iter(self._groups[group].values()))
+
+
 class Core:
     """All checks of one door."""
 
@@ -168,6 +213,7 @@
         self._checks: dict[int, _Check] = {}
         self._by_key: dict[bytes, _Check] = {}
         self._queue: OrderedDict[int, _Check] = OrderedDict()  # checks with no attempt out, oldest first
+        self._crowd = Crowd()  # and their asks
         self._cache: OrderedDict[bytes, tuple[float, Answer]] = OrderedDict()
         self._passed: dict[int, bytes] = {}  # let pass and not sent on yet: the key of its credential
         self._passed_by: dict[bytes, set[int]] = {}
@@ -207,6 +253,8 @@
             self._queue[check.number] = check
         ask = _Ask(ticket, now + self._rules.share * left_ms, group, fail_open, check)
         check.asks[ticket] = self._asks[ticket] = ask
+        if check.number in self._queue:
+            self._crowd.add(ask)
         self._timer(ask.until, "ask", ticket, 0)
         self._begin(now)
         self._shed()
@@ -308,7 +356,9 @@
 
     def _forget(self, check: _Check) -> None:
         self._checks.pop(check.number, None)
-        self._queue.pop(check.number, None)
+        if self._queue.pop(check.number, None) is not None:
+            for ask in check.asks.values():
+                self._crowd.remove(ask)
         if self._by_key.get(check.key) is check:
             del self._by_key[check.key]
 
@@ -324,6 +374,7 @@
         """An ask ends; a check that nobody waits for ends with it."""
         check = ask.check
         check.asks.pop(ask.ticket, None)
+        self._crowd.remove(ask)
         if not check.asks and check.number in self._checks:
             if check.service is not None:
                 self._did.append(Stop(check.number, check.attempt))
@@ -355,6 +406,8 @@
         else:
             self._queue[check.number] = check
             self._queue.move_to_end(check.number, last=False)  # it has waited longest
+            for ask in check.asks.values():
+                self._crowd.add(ask)
 
     def _begin(self, now: float) -> None:
         """Start what may start, the oldest first."""
@@ -364,6 +417,8 @@
             if place is None:
                 return
             del self._queue[check.number]
+            for ask in check.asks.values():
+                self._crowd.remove(ask)
             check.attempt += 1
             check.service = place
             check.tried.add(place)
@@ -386,13 +441,8 @@
     def _shed(self) -> None:
         """Too many wait: the oldest of the group that waits most gives way, so that one studio's crowd does not put
         out the others'."""
-        while sum(len(check.asks) for check in self._queue.values()) > self._rules.waiting:
-            waiting: Counter[str] = Counter()
-            for check in self._queue.values():
-                waiting.update(ask.group for ask in check.asks.values())
-            group = max(waiting, key=lambda name: (waiting[name], name))
-            ask = next(ask for check in self._queue.values() for ask in check.asks.values() if ask.group == group)
-            self._unsure(ask, Reason.SHED)
+        while self._crowd.total > self._rules.waiting:
+            self._unsure(self._crowd.oldest_of_largest(), Reason.SHED)
 
 
 def keep_of(headers: Sequence[tuple[bytes, bytes]]) -> float:
--- a/tests/test_auth_core.py
+++ b/tests/test_auth_core.py
@@ -9,7 +9,20 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from martenstep.auth.core import Action, Allow, Answer, Core, Deny, Reason, Rules, Start, Stop, Unsure, keep_of
+from martenstep.auth.core import (
+    Action,
+    Allow,
+    Answer,
+    Core,
+    Crowd,
+    Deny,
+    Reason,
+    Rules,
+    Start,
+    Stop,
+    Unsure,
+    keep_of,
+)
 
 YES, NO = Answer(200, keep_ms=10_000.0), Answer(403, keep_ms=10_000.0)
 ONCE = Answer(200)
@@ -176,6 +189,23 @@
     assert {a.reason for a in bench.did if isinstance(a, Unsure)} == {Reason.SHED}
 
 
+def test_shedding_costs_the_same_however_many_wait_and_from_however_many_groups() -> None:
+    """Counted in steps, not in time: the crowd's books are touched a fixed number of times an ask."""
+    steps = []
+
+    class Counted(Crowd):
+        def _move(self, group: str, old: int, new: int) -> None:
+            steps.append(self._largest)
+            super()._move(group, old, new)
+            steps[-1] = abs(steps[-1] - self._largest)
+
+    bench = Bench(per_service=1, total=1, waiting=3000)
+    bench.core._crowd = Counted()
+    for ticket in range(9000):
+        bench.ask(ticket, f"k{ticket}", group=f"g{ticket % 4000}")
+    assert bench.core.held["queued"] == 3000 and len(steps) < 3 * 9000 and max(steps) <= 1
+
+
 @pytest.mark.parametrize(("value", "ms"), [
     ("max-age=5", 5000.0), ("private, max-age=5", 0.0), ("no-store", 0.0), ("max-age=5, s-maxage=2", 2000.0),
     ("s-maxage=2, max-age=5", 2000.0), ("max-age=soon", 0.0), ("max-age=-4", 0.0), ("public", 0.0),
@@ -257,7 +287,8 @@
     def bounds_are_kept(self) -> None:
         held = self.bench.core.held
         assert held["out"] == len(self.out) <= 3 and held["asks"] == len(self.waiting)
-        assert sum(len(check.asks) for check in self.bench.core._queue.values()) <= 4
+        queued = sum(len(check.asks) for check in self.bench.core._queue.values())
+        assert self.bench.core._crowd.total == queued <= 4
         assert all(until >= self.bench.now for until in self.waiting.values()), "an ask past its time"
 
     def teardown(self) -> None:
