TLS: listeners, servers, authentication, the counter; certificates changed in service

Change: config/tls.py, a handshake of the door's own so that a refused one is told of with peer and reason, names checked towards servers, client certificates between doors and counter, SIGHUP takes up a new certificate without dropping a connection, the end of one is warned of.

--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -150,6 +150,29 @@
         check.fault(node.at("customer_segment"), "expected at least 1")
 
 
+def _file(check: Checker, message: Any, node: Node, name: str) -> None:
+    value = getattr(message, name)
+    if value and not Path(value).is_file():
+        check.fault(node.at(name), f"there is no file {value!r}")
+
+
+def check_server_tls(check: Checker, tls: pb.ServerTls | None, node: Node) -> None:
+    """TLS where others connect to us."""
+    if tls is None:
+        return
+    check.needed(tls, node, "certificate", "key")
+    for name in ("certificate", "key", "client_ca"):
+        _file(check, tls, node, name)
+
+
+def check_client_tls(check: Checker, tls: pb.ClientTls, node: Node) -> None:
+    """TLS where we connect to others."""
+    for name in ("ca", "certificate", "key"):
+        _file(check, tls, node, name)
+    if bool(tls.certificate) != bool(tls.key):
+        check.fault(node, "certificate and key go together")
+
+
 def _check_parts(check: Checker, door: pb.Door, root: Node) -> None:
     """Listener, upstream, store, members, admin and log."""
     node = root.at("listener")
@@ -159,6 +182,10 @@
     check.above_zero(door.listener, node, "idle_ms", "head_ms")
     if door.HasField("admin"):
         check.port(door.admin, root.at("admin"), any_free=True)
+    check_server_tls(check, door.listener.tls if door.listener.HasField("tls") else None, node.at("tls"))
+    for owner, part in (("upstream", door.upstream), ("auth", door.auth), ("counter", door.counter)):
+        if part.HasField("tls"):
+            check_client_tls(check, part.tls, root.at(owner).at("tls"))
     node = root.at("upstream")
     for name in ("connections", "max_attempts"):
         check.number(door.upstream, node, name, 1)
--- a/martenstep/counter/client.py
+++ b/martenstep/counter/client.py
@@ -15,6 +15,7 @@
 import asyncio
 import contextlib
 import os
+import ssl
 import time
 from collections import OrderedDict
 from collections.abc import Callable
@@ -137,7 +138,9 @@
     """A store port over one counter service."""
 
     def __init__(self, host: str, port: int, door: str, journal: Journal, answer: Answer, note: Note, *,
-                 timeout_ms: float = 50.0, waiting: int = 10_000, map_version: int = 1) -> None:
+                 timeout_ms: float = 50.0, waiting: int = 10_000, map_version: int = 1,
+                 tls: ssl.SSLContext | None = None, server_name: str = "") -> None:
+        self._tls, self._server_name = tls, server_name
         self._host, self._port, self._door = host, port, door
         self._journal, self._answer, self._note = journal, answer, note
         self._timeout, self._bound, self._map_version = timeout_ms / 1000, waiting, map_version
@@ -237,7 +240,8 @@
             pause = min(pause * 2, AGAIN_MOST_MS)
 
     async def _connection(self) -> None:
-        reader, writer = await asyncio.open_connection(self._host, self._port)
+        reader, writer = await asyncio.open_connection(
+            self._host, self._port, ssl=self._tls, server_hostname=(self._server_name or None) if self._tls else None)
         self._writer = writer
         writer.write(encode(Hello(self._door, self._journal.epoch, self._map_version, term=self._journal.term)))
         frames = Frames()
--- a/martenstep/counter/service.py
+++ b/martenstep/counter/service.py
@@ -18,6 +18,7 @@
 from pathlib import Path
 from typing import Any
 
+from martenstep.config.tls import ServerContext
 from martenstep.counter import counter_pb2 as pb
 from martenstep.counter.files import Disk
 from martenstep.counter.frames import (
@@ -326,7 +327,9 @@
     async def start(self) -> int:
         """Bind; gives the port."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Connection(self), self.settings.host, self.settings.port)
+        tls = ServerContext(self.settings.tls) if self.settings.HasField("tls") else None
+        self._server = await loop.create_server(lambda: Connection(self), self.settings.host, self.settings.port,
+                                                ssl=tls.context if tls else None)
         self._tasks = [asyncio.create_task(self._commit()), asyncio.create_task(self._sweep())]
         return int(self._server.sockets[0].getsockname()[1])
 
--- a/martenstep/counter/settings.py
+++ b/martenstep/counter/settings.py
@@ -4,7 +4,7 @@
 
 from pathlib import Path
 
-from martenstep.config.settings import Checker, read_text
+from martenstep.config.settings import Checker, check_server_tls, read_text
 from martenstep.config.text import Faults, Node, parse
 from martenstep.counter import counter_pb2 as pb
 
@@ -19,6 +19,7 @@
         check.number(service, root, name, 1)
     check.above_zero(service, root, "try_window_ms", "period_ms", "idle_ms")
     check.number(service, root, "unsent_bytes", 4096)
+    check_server_tls(check, service.tls if service.HasField("tls") else None, root.at("tls"))
     node = root.at("log")
     check.needed(service.log, node, "directory")
     check.number(service.log, node, "segment_bytes", LEAST_SEGMENT)
--- a/martenstep/door/daemon.py
+++ b/martenstep/door/daemon.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from martenstep.config import door_pb2 as pb
+from martenstep.config.tls import WARN_DAYS, TlsError, client_context
 from martenstep.counter.client import CounterClient, Journal
 from martenstep.counter.shards import Shards
 from martenstep.door.admin import Admin, DoorCollector
@@ -25,6 +26,7 @@
 from martenstep.members.lists import Listed
 from martenstep.store.redis_store import RedisStore
 
+WARN_S = 3600.0  # between two looks at the certificate's end
 COUNTER_FLUSH_MS = 2000.0  # at a stop: what is not acknowledged by then stays in the journal
 
 
@@ -62,8 +64,28 @@
             self.ports["admin"] = await self._admin.start(self.door.admin.host, self.door.admin.port)
         self.ports["listener"] = await self.driver.start()
         self.ready = True
+        self._warn()
         self.notes.note("ready", dict(self.ports))
 
+    def reload(self) -> None:
+        """Take up new certificates; connections that stand keep theirs."""
+        if self.driver.tls is None:
+            return
+        try:
+            self.driver.tls.reload()
+        except TlsError as error:
+            self.notes.note("certificate not taken up", {"error": str(error)})
+        else:
+            self.notes.note("certificate taken up", {"days_left": round(self.driver.tls.days_left(), 1)})
+
+    def _warn(self) -> None:
+        """Warn of a certificate that ends soon, now and each hour."""
+        if self.driver.tls is not None:
+            left = self.driver.tls.days_left()
+            if left < WARN_DAYS:
+                self.notes.note("certificate ends soon", {"days_left": round(left, 1)})
+            self.driver.loop.call_later(WARN_S, self._warn)
+
     async def stop(self) -> bool:
         """Leave in a bounded time; True where all that was held was answered by itself."""
         self.ready = False
@@ -86,12 +108,13 @@
     def _counter_clients(self) -> dict[str, CounterClient]:
         """One client a service, each with a journal of its own."""
         told = self.door.counter
+        tls = client_context(told.tls) if told.HasField("tls") else None
         endpoints = [(one.name, one.host, one.port) for one in told.service] or [("", told.host, told.port)]
         return {
             name: CounterClient(host, port, self.door.name,
                                 Journal(Path(told.journal) / name, told.journal_tries), self._counted,
                                 self.notes.note, timeout_ms=told.timeout_ms, waiting=told.waiting,
-                                map_version=told.map_version)
+                                map_version=told.map_version, tls=tls, server_name=told.tls.server_name)
             for name, host, port in endpoints
         }
 
@@ -129,7 +152,12 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    daemon = Daemon(door, seed)
+    try:
+        daemon = Daemon(door, seed)
+    except TlsError as error:
+        Notes(door.log, door.name).note("cannot start", {"error": str(error)})
+        return 1
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
     loop.set_exception_handler(lambda _, context: _loop_fault(daemon, context))
     try:
         await daemon.start()
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 import time
 from collections import deque
 from collections.abc import Callable
@@ -22,12 +23,13 @@
 import h11
 
 from martenstep.config import door_pb2 as pb
+from martenstep.config.tls import ServerContext, client_context
 from martenstep.door import events as ev
 from martenstep.door.checks import Checks
 from martenstep.door.engine import Engine
 from martenstep.door.events import Ending
 from martenstep.door.http import END, own_answer, request_head, response_head
-from martenstep.door.wires import AcceptingProtocol, Pool, Upstream, WatchedProtocol, WatchedReader
+from martenstep.door.wires import AcceptingProtocol, Pool, SecuringProtocol, Upstream, WatchedProtocol, WatchedReader
 
 READ_BYTES = 65536  # of one read, and what a stream buffers before it stops reading
 SWEEP_MS = 250.0  # how often idle and stalled connections are looked for
@@ -326,7 +328,10 @@
         self.listener, self.upstream = door.listener, door.upstream
         self.engine, self._note = engine, note
         self.loop = asyncio.get_running_loop()
-        self.pool = Pool(self.upstream.connections, self.upstream.idle_ms, READ_BYTES)
+        self.tls = ServerContext(self.listener.tls) if self.listener.HasField("tls") else None
+        tls = client_context(self.upstream.tls) if self.upstream.HasField("tls") else None
+        self.pool = Pool(self.upstream.connections, self.upstream.idle_ms, READ_BYTES, tls,
+                         self.upstream.tls.server_name)
         self.flights: dict[int, Flight] = {}
         self.clients: set[Client] = set()
         self.stopping = False
@@ -334,7 +339,7 @@
         self.record: Callable[[ev.Tried], None] | None = None  # the counter service, where there is one
         self.listen: Callable[[], None] | None = None  # the feed
         self.counts: dict[str, int] = {"connections_turned_away": 0, "requests": 0, "attempts": 0, "replies": 0,
-                                       "passed": 0, "broken": 0}
+                                       "passed": 0, "broken": 0, "handshakes_refused": 0}
         self._actions: deque[ev.Action] = deque()
         self._acting = False
         self._due: asyncio.TimerHandle | None = None
@@ -354,13 +359,20 @@
 
     async def start(self) -> int:
         """Bind and accept; gives the port."""
-        def factory() -> AcceptingProtocol:
-            return AcceptingProtocol(WatchedReader(READ_BYTES), self._connected)
+        def factory() -> asyncio.Protocol:
+            made = AcceptingProtocol(WatchedReader(READ_BYTES), self._connected)
+            if self.tls is None:
+                return made
+            return SecuringProtocol(made, self.tls.context, self.listener.head_ms / 1000, self._insecure)
 
         self._server = await self.loop.create_server(factory, self.listener.host, self.listener.port, backlog=1024)
         self._sweeper = asyncio.create_task(self._sweep())
         return int(self._server.sockets[0].getsockname()[1])
 
+    def _insecure(self, peer: str, reason: str) -> None:
+        self.counts["handshakes_refused"] += 1
+        self._note("handshake refused", {"peer": peer, "reason": reason})
+
     async def stop(self, within_ms: float) -> bool:
         """Accept no more, answer what is held, leave in a bounded time; True where all was answered by itself."""
         self.stopping = True
@@ -562,8 +574,11 @@
         """Make a connection for an attempt.  Cancelled when it is given up."""
         try:
             upstream = await self.pool.dial(action.address)
-        except OSError:
+        except OSError as error:
             self.pool.release(action.address)
+            if isinstance(error, ssl.SSLError):
+                self._note("server refused", {"address": f"{action.address[0]}:{action.address[1]}",
+                                              "reason": getattr(error, "verify_message", "") or str(error.reason)})
             if flight.task is asyncio.current_task():
                 flight.task = None
                 self.act(ev.AttemptEnded(flight.ticket, action.attempt, Ending.NOT_CONNECTED))
--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from collections.abc import Callable
 from typing import Any, cast
 
 import h11
 
 Lost = Callable[[], None]
+Refused = Callable[[str, str], None]  # whose handshake, and why
 Sink = Callable[[bytes], None]
 Accepted = Callable[["WatchedReader", asyncio.StreamWriter, "WatchedProtocol"], None]
 
@@ -61,13 +63,14 @@
         super().__init__(reader)
         self.on_lost: Lost | None = None
         self.on_half_close: Lost | None = None
+        self.secure = False
 
     def eof_received(self) -> bool:
-        """The other side's half is closed; ours stays open."""
+        """The other side's half is closed; ours stays open, but under TLS, which knows no half."""
         super().eof_received()
         if self.on_half_close is not None:
             self.on_half_close()
-        return True
+        return not self.secure
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Both halves are closed."""
@@ -92,6 +95,35 @@
         self._accepted(self._watched, writer, self)
 
 
+class SecuringProtocol(asyncio.Protocol):
+    """Of a connection that a client made and that TLS must secure first: what comes of the handshake is known here,
+    so that a refused one can be told of."""
+
+    def __init__(self, made: AcceptingProtocol, context: ssl.SSLContext, within_s: float, told: Refused) -> None:
+        self._made, self._context, self._within, self._told = made, context, within_s, told
+        self._task: asyncio.Task[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is there; nothing is read before the handshake."""
+        plain = cast(asyncio.Transport, transport)
+        plain.pause_reading()
+        self._task = asyncio.get_running_loop().create_task(self._secure(plain))
+
+    async def _secure(self, plain: asyncio.Transport) -> None:
+        peer = plain.get_extra_info("peername")
+        try:
+            secured = await asyncio.get_running_loop().start_tls(
+                plain, self._made, self._context, server_side=True, ssl_handshake_timeout=self._within)
+        except (ssl.SSLError, OSError, TimeoutError) as error:
+            plain.abort()
+            self._told(str(peer[0]) if peer else "", getattr(error, "reason", None) or str(error) or "closed")
+            return
+        if secured is None:  # the connection went away meanwhile
+            return
+        self._made.secure = True
+        self._made.connection_made(secured)
+
+
 class Upstream:
     """One connection to a server."""
 
@@ -116,8 +148,10 @@
 class Pool:
     """The connections to all servers: idle ones by address, and how many there are in all."""
 
-    def __init__(self, bound: int, idle_ms: float, read_bytes: int) -> None:
+    def __init__(self, bound: int, idle_ms: float, read_bytes: int, tls: ssl.SSLContext | None = None,
+                 server_name: str = "") -> None:
         self._bound, self._idle_ms, self._read_bytes = bound, idle_ms, read_bytes
+        self._tls, self._server_name = tls, server_name
         self._idle: dict[tuple[str, int], list[Upstream]] = {}
         self._count: dict[tuple[str, int], int] = {}
         self.opened = 0
@@ -155,10 +189,13 @@
             self._idle.pop(address, None)
 
     async def dial(self, address: tuple[str, int]) -> Upstream:
-        """Make a connection in a place that is reserved; raises OSError."""
+        """Make a connection in a place that is reserved; raises OSError, an ssl.SSLError where TLS refuses it."""
         loop = asyncio.get_running_loop()
         reader = WatchedReader(self._read_bytes)
-        transport, protocol = await loop.create_connection(lambda: WatchedProtocol(reader), *address)
+        transport, protocol = await loop.create_connection(
+            lambda: WatchedProtocol(reader), *address, ssl=self._tls,
+            server_hostname=(self._server_name or None) if self._tls else None)
+        protocol.secure = self._tls is not None
         self.opened += 1
         return Upstream(address, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
 
