--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -98,7 +98,10 @@
     file = folder / f"{kind.replace(' ', '-')}.txtpb"
     kept = "auth, kept" in kind
     guarded = f"auth {{ service {{ port: {ports[-1 if kept else -2]} }} waiting: 20000 }}" if "auth" in kind else ""
-    identity = "authenticate: true" if guarded else 'customer_header: "x-customer"'
+    identity = "authenticate: true" if "auth" in kind else 'customer_header: "x-customer"'
+    share = 1.0 if "traced all" in kind else 0.01
+    if "traced" in kind:
+        guarded += f' tracing {{ file: "{folder}/traces.jsonl" share: {share} }}'
     file.write_text(DOOR.format(store=told, feed=feed, plan=plan, auth=guarded, identity=identity))
     return start(str(CORE), "-m", "martenstep", "serve", str(file), *(["--uvloop"] if "uvloop" in kind else []))
 
--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -378,6 +378,25 @@
     _export(directory, None, since, until)
 
 
+@cli.group()
+def trace() -> None:
+    """Traces of single requests."""
+
+
+@trace.command("show", epilog=_example("martenstep trace show traces.jsonl r17.0"))
+@click.argument("file", type=FILE)
+@click.argument("request")
+def trace_show(file: Path, request: str) -> None:
+    """Print what became of REQUEST as a time line."""
+    from martenstep.lab.timeline import TimelineError, timeline
+    try:
+        with file.open("rb") as lines:
+            click.echo(timeline(lines, request))
+    except (OSError, TimelineError) as error:
+        click.echo(f"{file}: {error}", err=True)
+        sys.exit(USAGE)
+
+
 class _Bar:
     """A progress bar on a terminal; nothing elsewhere."""
 
--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -221,6 +221,9 @@
             check.number(door.counter, node, name, 1)
         if door.HasField("store"):
             check.fault(node, "given beside store; only one of them may be")
+    if door.HasField("tracing"):
+        check.needed(door.tracing, root.at("tracing"), "file")
+        check.number(door.tracing, root.at("tracing"), "share", 0, 1)
     if door.HasField("auth"):
         node = root.at("auth")
         if not door.auth.service:
--- a/martenstep/door/daemon.py
+++ b/martenstep/door/daemon.py
@@ -21,6 +21,7 @@
 from martenstep.door.engine import Engine
 from martenstep.door.events import Counted, Tried
 from martenstep.door.log import Notes, configure
+from martenstep.door.traces import Exporter
 from martenstep.interface import Scope, Verdict
 from martenstep.members.feed import Feed
 from martenstep.members.lists import Listed
@@ -41,6 +42,7 @@
         self.ready = False
         self._store = RedisStore(door.store, self._counted) if door.HasField("store") else None
         self._counter: Shards | None = None
+        self._exporter: Exporter | None = None
         self._feed = Feed(door.members, door.name, self._listed, self._odd, now_ms)
         self._feeding: asyncio.Task[None] | None = None
         self._admin = Admin(DoorCollector(self._counts, self._gauges), lambda: self.ready)
@@ -52,6 +54,9 @@
         if self._store is not None:
             self._store.start()
             self.driver.add = self._store.add
+        if self.door.HasField("tracing"):
+            self._exporter = Exporter(Path(self.door.tracing.file), self.door.name, lambda: time.time() * 1000, now_ms)
+            self.driver.trace = self._exporter.take
         if self.door.HasField("counter"):
             self._counter = Shards(self._counter_clients())
             self._counter.start()
@@ -98,6 +103,8 @@
         if self._counter is not None:
             await self._counter.flush(COUNTER_FLUSH_MS)
             await self._counter.stop()
+        if self._exporter is not None:
+            self._exporter.close()
         self._admin.stop()
         self.notes.note("stopped", {"clean": clean, **self.engine.held})
         return clean
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -29,6 +29,7 @@
 from martenstep.door.engine import Engine
 from martenstep.door.events import Ending
 from martenstep.door.http import END, own_answer, request_head, response_head
+from martenstep.door.traces import Trace
 from martenstep.door.wires import AcceptingProtocol, Pool, SecuringProtocol, Upstream, WatchedProtocol, WatchedReader
 
 READ_BYTES = 65536  # of one read, and what a stream buffers before it stops reading
@@ -338,6 +339,7 @@
         self.add: Callable[[int, int, float, float], None] | None = None  # the store, where there is one
         self.record: Callable[[ev.Tried], None] | None = None  # the counter service, where there is one
         self.listen: Callable[[], None] | None = None  # the feed
+        self.trace: Callable[[Trace], None] | None = None  # where traces go
         self.counts: dict[str, int] = {"connections_turned_away": 0, "requests": 0, "attempts": 0, "replies": 0,
                                        "passed": 0, "broken": 0, "handshakes_refused": 0}
         self._actions: deque[ev.Action] = deque()
@@ -353,6 +355,7 @@
             ev.Open: self._open, ev.Abandon: self._abandon, ev.Pass: self._pass, ev.Reply: self._reply,
             ev.Break: self._break, ev.Add: self._add, ev.Tried: self._tried, ev.Listen: self._listen,
             ev.Note: self._told, ev.Ask: self._checks.ask, ev.StopAsking: self._checks.stop,
+            ev.Traced: self._traced,
         }
 
     # Life -----------------------------------------------------------------------------------------------
@@ -484,6 +487,10 @@
         if self.record is not None:
             self.record(action)
 
+    def _traced(self, action: ev.Traced) -> None:
+        if self.trace is not None:
+            self.trace(action.trace)
+
     def _listen(self, action: ev.Listen) -> None:
         if self.listen is not None:
             self.listen()
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -25,6 +25,7 @@
 from martenstep.door import events as ev
 from martenstep.door.http import STATUS, header, only_ours, own_answer, rate_limit
 from martenstep.door.routes import Guarded, Routed, Routes, Unroutable
+from martenstep.door.traces import Sampler, Trace
 from martenstep.door.verdicts import StatusTable, of_ending, of_stop
 from martenstep.interface import Verdict
 
@@ -55,7 +56,7 @@
     """One client request, from its head to the end of its last attempt."""
 
     __slots__ = ("arrived", "attempt", "deadline", "guarded", "head", "label", "one_attempt", "rid", "routed",
-                 "servers", "settled", "ticket", "timed_out", "told", "verdict")
+                 "servers", "settled", "ticket", "timed_out", "told", "trace", "verdict")
 
     def __init__(self, arrived: ev.Arrived, routed: Routed, rid: str, label: str, now: float,
                  deadline: float) -> None:
@@ -68,6 +69,7 @@
         self.guarded: Guarded | None = None  # an authentication service is to tell its customer
         self.verdict: auth.Answer | None = None  # what it said
         self.told = False  # the module knows of it
+        self.trace: Trace | None = None
         self.one_attempt = False  # its body cannot be written again
         self.timed_out = False
 
@@ -92,6 +94,7 @@
         self._connect_ms, self._cancel = upstream.connect_ms, upstream.cancel
         self._records = door.HasField("counter")  # the counter service keeps tries, Redis only counts
         self._max_wait = door.max_retry_after_ms
+        self._sampler = Sampler(door.tracing.share, random.Random(~seed)) if door.HasField("tracing") else None
         self._auth: auth.Core | None = None
         if door.HasField("auth"):
             told = door.auth
@@ -217,6 +220,9 @@
         exchange = self._rids[action.id]
         number = len(exchange.servers)
         exchange.servers.append(action.server)
+        trace = exchange.trace
+        if trace is not None:
+            trace.end("counter", self._now)
         if self._answerer is not None:
             self._let_pass(exchange, number, action)
             return
@@ -246,6 +252,10 @@
         left = max(exchange.deadline - self._now, 0.0)
         headers.append((self._deadline_header, f"{left:.0f}".encode()))
         headers.append((b"via", self._via))
+        if trace is not None:
+            span = trace.begin("attempt", self._now, attempt=number, server=action.server)
+            headers = [pair for pair in headers if pair[0] != b"traceparent"]
+            headers.append((b"traceparent", trace.outgoing(span)))
         if head.peer:
             headers.append((b"x-forwarded-for", head.peer.encode()))
         if exchange.routed.cls.effect is api.Effect.KEYED and header(headers, self._key_header) is None:
@@ -274,6 +284,8 @@
     def _outcome(self, exchange: Exchange, attempt: Attempt, verdict: Verdict, ended: bool) -> None:
         """End an attempt; the one place that does."""
         attempt.open = False
+        if exchange.trace is not None:
+            exchange.trace.end("attempt", self._now, verdict=verdict.value, written=attempt.written)
         rtt = self._now - attempt.sent_at
         self._tell(api.Outcome(exchange.rid, attempt.number, attempt.server, verdict, rtt, ended))
 
@@ -330,6 +342,13 @@
         exchange.settled = True
         if self._auth is not None:
             self._ask_did(self._auth.left(self._now, exchange.ticket))
+        if exchange.trace is not None:
+            root = exchange.trace.root
+            root.end = self._now
+            root.attributes.update({"status": status, "reason": reason, "customer": exchange.routed.key,
+                                    "plan": exchange.routed.plan.name})
+            for name in ("auth", "counter"):
+                exchange.trace.end(name, self._now)
         self._open -= 1
         routed = exchange.routed
         fields: dict[str, Any] = {
@@ -346,6 +365,9 @@
         if exchange.settled and not (exchange.attempt and exchange.attempt.open):
             self._exchanges.pop(exchange.ticket, None)
             self._rids.pop(exchange.rid, None)
+            if exchange.trace is not None:
+                trace, exchange.trace = exchange.trace, None
+                self._out.append(ev.Traced(trace))
 
     # Clients --------------------------------------------------------------------------------------------
 
@@ -377,6 +399,12 @@
             return
         remaining = max(remaining - self._margin, 0.0)
         exchange = Exchange(event, routed, rid, named, self._now, self._now + remaining)
+        if self._sampler is not None:
+            exchange.trace = self._sampler.trace(
+                header(event.headers, b"traceparent"), self._now, request=named, door=self._name,
+                method=method.decode("latin-1"), path=target.partition(b"?")[0].decode("latin-1"))
+            if exchange.trace is not None:
+                exchange.trace.root.attributes["class"] = routed.cls.name
         self._exchanges[event.ticket] = self._rids[rid] = exchange
         self._open += 1
         self._timer(exchange.deadline, self._deadline, event.ticket)
@@ -388,15 +416,21 @@
 
     def _admit(self, exchange: Exchange, routed: Routed) -> None:
         """Who the customer is is known: the module decides."""
+        if exchange.trace is not None:
+            exchange.trace.end("auth", self._now)
         exchange.routed, exchange.told = routed, True
         self._tell(api.Request(exchange.rid, routed.cls.name, routed.plan.name, routed.customer,
                                max(exchange.deadline - self._now, 0.0), routed.units, routed.spread, routed.first))
+        if exchange.trace is not None and not exchange.settled and not exchange.servers:
+            exchange.trace.begin("counter", self._now)  # the module waits for the total
 
     # Authentication -------------------------------------------------------------------------------------
 
     def _ask(self, exchange: Exchange, guarded: Guarded, remaining: float) -> None:
         """Wait for a verdict on the request's credential."""
         assert self._auth is not None, "the settings' check lets no route authenticate without a service"
+        if exchange.trace is not None:
+            exchange.trace.begin("auth", self._now)
         head = exchange.head
         digest = hashlib.blake2b(digest_size=16)
         sent: ev.Headers = []
--- a/martenstep/door/events.py
+++ b/martenstep/door/events.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import Any
 
+from martenstep.door.traces import Trace
 from martenstep.interface import Verdict
 from martenstep.members.lists import Listed as Listed
 
@@ -228,6 +229,13 @@
     beyond: bool
 
 
+@dataclass(slots=True)
+class Traced:
+    """A traced request is over."""
+
+    trace: Trace
+
+
 @dataclass(slots=True)
 class Listen:
     """Ask the feed for changes from now on."""
@@ -241,4 +249,4 @@
     fields: dict[str, Any]
 
 
-Action = Ask | StopAsking | Open | Abandon | Pass | Reply | Break | Add | Tried | Listen | Note
+Action = Traced | Ask | StopAsking | Open | Abandon | Pass | Reply | Break | Add | Tried | Listen | Note
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,122 @@
+"""Traces: one span tree a request, context in and out, a time line of it."""
+
+from __future__ import annotations
+
+import random
+import time
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from martenstep.cli.main import cli
+from martenstep.door import events as ev
+from martenstep.door.events import Ending
+from martenstep.door.traces import Exporter, Sampler, Trace
+from tests.door_rig import Rig, head
+from tests.test_auth_door import Door
+
+TRACING = 'tracing { file: "x" share: 1 }'
+PARENT = "00-" + "ab" * 16 + "-" + "cd" * 8 + "-01"
+
+
+def traces(rig: Rig) -> list[Trace]:
+    return [action.trace for action in rig.of(ev.Traced)]
+
+
+def test_a_request_makes_one_tree_with_all_its_parts() -> None:
+    rig = Door(TRACING)
+    ticket = rig.ask("/safe/1?token=secret", authorization="Bearer secret", x_request_id="r1")
+    rig.pass_time(7)
+    rig.verdict()
+    rig.pass_time(3)
+    rig.count_all(1.0)
+    rig.pass_time(5)
+    rig.end(ticket, Ending.CLOSED)
+    rig.pass_time(20)
+    rig.serve(ticket)
+    [trace] = traces(rig)
+    assert [(span.name, span.start - 100_000.0, span.end - 100_000.0) for span in (trace.root, *trace.parts)] == [
+        ("request", 0, 35), ("auth", 0, 7), ("counter", 7, 10), ("attempt", 10, 15), ("attempt", 15, 35)]
+    assert trace.root.attributes == {"request": "r1", "door": "door-0", "method": "GET", "path": "/safe/1",
+                                     "class": "read", "status": 200, "reason": "served", "customer": "anna",
+                                     "plan": "plain"}
+    assert [span.attributes["verdict"] for span in trace.parts[2:]] == ["reset", "ok"]
+    assert "secret" not in repr(trace)
+    for sent, span in zip(rig.of(ev.Open, ticket), trace.parts[2:], strict=True):
+        assert head(sent, "traceparent") == f"00-{trace.id:032x}-{span.id:016x}-01"
+
+
+def test_a_trace_ends_with_its_last_attempt_and_every_request_has_one() -> None:
+    rig = Rig(TRACING + " upstream { cancel: false }")
+    left = rig.ask(x_deadline_ms="900")
+    rig.write(left)
+    rig.tell(ev.ClientLeft(left))
+    assert not traces(rig)  # an attempt is still out
+    rig.pass_time(900)
+    [trace] = traces(rig)
+    assert trace.root.attributes["reason"] == "client left" and trace.parts[0].end > trace.root.end
+    refused = rig.ask(customer="anna")
+    rig.count_all(900.0)
+    assert rig.finals(refused) and traces(rig)[1].root.attributes["status"] == 429
+
+
+def test_context_comes_from_the_client_and_a_broken_one_is_none() -> None:
+    rig = Rig(TRACING)
+    rig.serve(rig.ask(traceparent=PARENT))
+    for bad in (PARENT.upper(), PARENT[:-3], "00-" + "0" * 32 + PARENT[35:], "ff" + PARENT[2:], "x"):
+        rig.serve(rig.ask(traceparent=bad))
+    first, *others = traces(rig)
+    assert first.id == int("ab" * 16, 16) and first.parent == int("cd" * 8, 16)
+    assert all(trace.parent == 0 and trace.id != first.id for trace in others)
+
+
+def test_sampling_follows_the_sender_and_else_the_id_alone() -> None:
+    sampler = Sampler(0.25, random.Random(1))
+    found = [sampler.trace(None, 0.0) for _ in range(4000)]
+    assert 900 < sum(trace is not None for trace in found) < 1100
+    none = Sampler(0.0, random.Random(1))
+    assert none.trace(PARENT.encode(), 0.0) is not None and none.trace(PARENT[:-1].encode() + b"0", 0.0) is None
+    assert none.trace(None, 0.0) is None
+    rig = Rig()  # without tracing, context passes through as it came
+    assert head(rig.opened(rig.ask(traceparent=PARENT)), "traceparent") == PARENT
+
+
+def test_a_time_line_is_printed_from_the_file(tmp_path: Path) -> None:
+    rig = Rig(TRACING)
+    ticket = rig.ask(x_request_id="r1", traceparent=PARENT)
+    rig.pass_time(4)
+    rig.end(ticket, Ending.CLOSED)
+    rig.pass_time(6)
+    rig.serve(ticket)
+    file = tmp_path / "traces.jsonl"
+    exporter = Exporter(file, "door-0", lambda: time.time() * 1000, lambda: 100_000.0)
+    for trace in traces(rig):
+        exporter.take(trace)
+    exporter.close()
+    with file.open("a") as more:
+        more.write('{"name": "cut of')
+    done = CliRunner().invoke(cli, ["trace", "show", str(file), "r1"])
+    assert done.exit_code == 0, done.output
+    lines = done.output.splitlines()
+    assert "ab" * 16 in lines[0] and [line.rsplit("| ", 1)[1].split()[0] for line in lines[1:]] == [
+        "request", "attempt", "attempt"]
+    assert lines[1].split()[2] == "10.000" and lines[3].split()[0] == "4.000" and "verdict=ok" in lines[3]
+    for words in ((str(file), "nobody"), ("/no/such/file", "r1")):
+        missing = CliRunner().invoke(cli, ["trace", "show", *words])
+        assert missing.exit_code == 2 and "Traceback" not in missing.output
+
+
+@pytest.mark.parametrize("share", [0.0, 1.0])
+def test_tracing_changes_no_decision(share: float) -> None:
+    def played(text: str) -> list[int]:
+        rig = Rig(text, seed=5)
+        for number in range(60):
+            ticket = rig.ask(customer="anna" if number % 3 else "free")
+            rig.count_all(1.0)
+            rig.pass_time(3)
+            if rig.of(ev.Open, ticket):
+                rig.serve(ticket)
+        return [opened.server for opened in rig.of(ev.Open)]
+
+    assert played(f'tracing {{ file: "x" share: {share} }}') == played("")
