--- a/martenstep/auth/answerer.py
+++ b/martenstep/auth/answerer.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import hmac
 import ipaddress
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -44,6 +45,8 @@
     def __init__(self, settings: pb.ForwardAuth) -> None:
         self._profile, self._prefix = settings.profile, settings.path_prefix.encode()
         self._bound = settings.target_bytes
+        self._secret_header = settings.secret_header.lower().encode()
+        self._secret = settings.secret.encode()
         self._peers = [ipaddress.ip_network(peer) for peer in settings.trusted_peer or LOOPBACK]
 
     def trusts(self, peer: str) -> bool:
@@ -60,6 +63,10 @@
         would let another request pass than the one that was asked about."""
         if not self.trusts(peer):
             return Unasked(403, "peer not trusted")
+        if self._secret_header:
+            shown = self._one(headers, (self._secret_header,)) or b""
+            if not hmac.compare_digest(shown, self._secret):  # in a time that tells nothing of how much fits
+                return Unasked(403, "peer not trusted")
         path = target.partition(b"?")[0]
         if path != self._prefix and not path.startswith(self._prefix.rstrip(b"/") + b"/"):
             return Unasked(404, "no route")
--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -250,6 +250,8 @@
             check.fault(node, "given beside members: a door that is asked sends nothing on")
         if not door.forward_auth.path_prefix.startswith("/"):
             check.fault(node.at("path_prefix"), "expected a path that begins with '/'")
+        if bool(door.forward_auth.secret) != bool(door.forward_auth.secret_header):
+            check.fault(node, "secret and secret_header go together")
         for peer, at in zip(door.forward_auth.trusted_peer, node.all("trusted_peer"), strict=True):
             try:
                 ipaddress.ip_network(peer)
--- a/martenstep/config/tls.py
+++ b/martenstep/config/tls.py
@@ -61,6 +61,19 @@
         return days_left(Path(self._settings.certificate))
 
 
+class ClientContext:
+    """TLS where we connect to others."""
+
+    def __init__(self, settings: pb.ClientTls) -> None:
+        self._settings = settings
+        self.context = client_context(settings)
+
+    def reload(self) -> None:
+        """Take up new files; raises TlsError, and the old ones stay."""
+        client_context(self._settings)
+        _load(self.context, self._settings.certificate, self._settings.key, self._settings.ca)
+
+
 def client_context(settings: pb.ClientTls) -> ssl.SSLContext:
     """TLS where we connect to others; raises TlsError."""
     made = ssl.create_default_context()
--- a/martenstep/counter/service.py
+++ b/martenstep/counter/service.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-from martenstep.config.tls import ServerContext
+from martenstep.config.tls import ServerContext, TlsError
 from martenstep.counter import counter_pb2 as pb
 from martenstep.counter.files import Disk
 from martenstep.counter.frames import (
@@ -267,6 +267,7 @@
         self._writer = ThreadPoolExecutor(1, "log")
         self._tasks: list[asyncio.Task[None]] = []
         self._server: asyncio.Server | None = None
+        self._tls: ServerContext | None = None
 
     def admit(self, connection: Connection) -> bool:
         """Whether one more connection is taken."""
@@ -327,12 +328,20 @@
     async def start(self) -> int:
         """Bind; gives the port."""
         loop = asyncio.get_running_loop()
-        tls = ServerContext(self.settings.tls) if self.settings.HasField("tls") else None
+        self._tls = ServerContext(self.settings.tls) if self.settings.HasField("tls") else None
         self._server = await loop.create_server(lambda: Connection(self), self.settings.host, self.settings.port,
-                                                ssl=tls.context if tls else None)
+                                                ssl=self._tls.context if self._tls else None)
         self._tasks = [asyncio.create_task(self._commit()), asyncio.create_task(self._sweep())]
         return int(self._server.sockets[0].getsockname()[1])
 
+    def reload(self) -> None:
+        """Take up a new certificate; connections that stand keep theirs."""
+        if self._tls is not None:
+            try:
+                self._tls.reload()
+            except TlsError as error:
+                sys.stderr.write(json.dumps({"event": "certificate not taken up", "error": str(error)}) + "\n")
+
     async def _commit(self) -> None:
         """Close a group, write it, answer it; the next gathers meanwhile."""
         loop, log = asyncio.get_running_loop(), self.settings.log
@@ -408,6 +417,7 @@
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, service.reload)
         sys.stdout.write(json.dumps({"ready": {"port": port}, "pid": os.getpid(), "records": keeper.records,
                                      "cut": keeper.cut}) + "\n")
         sys.stdout.flush()
--- a/martenstep/door/checks.py
+++ b/martenstep/door/checks.py
@@ -9,7 +9,7 @@
 import h11
 
 from martenstep.config import door_pb2 as pb
-from martenstep.config.tls import client_context
+from martenstep.config.tls import ClientContext
 from martenstep.door import events as ev
 from martenstep.door.http import END, request_head
 from martenstep.door.wires import Pool, Upstream
@@ -44,8 +44,9 @@
 
     def __init__(self, host: Host, settings: pb.Auth) -> None:
         self._host, self._bound = host, settings.body_bytes
-        tls = client_context(settings.tls) if settings.HasField("tls") else None
-        self.pool = Pool(settings.per_service + 1, IDLE_MS, READ_BYTES, tls, settings.tls.server_name)
+        self.tls = [ClientContext(settings.tls)] if settings.HasField("tls") else []
+        self.pool = Pool(settings.per_service + 1, IDLE_MS, READ_BYTES, self.tls[0].context if self.tls else None,
+                         settings.tls.server_name)
         self._flying: dict[int, _Flying] = {}
 
     def ask(self, action: ev.Ask) -> None:
--- a/martenstep/door/daemon.py
+++ b/martenstep/door/daemon.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from martenstep.config import door_pb2 as pb
-from martenstep.config.tls import WARN_DAYS, TlsError, client_context
+from martenstep.config.tls import WARN_DAYS, ClientContext, ServerContext, TlsError
 from martenstep.counter.client import CounterClient, Journal
 from martenstep.counter.shards import Shards
 from martenstep.door.admin import Admin, DoorCollector
@@ -74,14 +74,17 @@
 
     def reload(self) -> None:
         """Take up new certificates; connections that stand keep theirs."""
-        if self.driver.tls is None:
-            return
-        try:
-            self.driver.tls.reload()
-        except TlsError as error:
-            self.notes.note("certificate not taken up", {"error": str(error)})
-        else:
-            self.notes.note("certificate taken up", {"days_left": round(self.driver.tls.days_left(), 1)})
+        every: list[ServerContext | ClientContext] = [*self.driver.client_tls]
+        if self.driver.tls is not None:
+            every.append(self.driver.tls)
+        for tls in every:
+            try:
+                tls.reload()
+            except TlsError as error:
+                self.notes.note("certificate not taken up", {"error": str(error)})
+            else:
+                left = {"days_left": round(tls.days_left(), 1)} if isinstance(tls, ServerContext) else {}
+                self.notes.note("certificate taken up", left)
 
     def _warn(self) -> None:
         """Warn of a certificate that ends soon, now and each hour."""
@@ -115,7 +118,11 @@
     def _counter_clients(self) -> dict[str, CounterClient]:
         """One client a service, each with a journal of its own."""
         told = self.door.counter
-        tls = client_context(told.tls) if told.HasField("tls") else None
+        tls = None
+        if told.HasField("tls"):
+            made = ClientContext(told.tls)
+            self.driver.client_tls.append(made)
+            tls = made.context
         endpoints = [(one.name, one.host, one.port) for one in told.service] or [("", told.host, told.port)]
         return {
             name: CounterClient(host, port, self.door.name,
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -23,7 +23,7 @@
 import h11
 
 from martenstep.config import door_pb2 as pb
-from martenstep.config.tls import ServerContext, client_context
+from martenstep.config.tls import ClientContext, ServerContext
 from martenstep.door import events as ev
 from martenstep.door.checks import Checks
 from martenstep.door.engine import Engine
@@ -330,9 +330,9 @@
         self.engine, self._note = engine, note
         self.loop = asyncio.get_running_loop()
         self.tls = ServerContext(self.listener.tls) if self.listener.HasField("tls") else None
-        tls = client_context(self.upstream.tls) if self.upstream.HasField("tls") else None
-        self.pool = Pool(self.upstream.connections, self.upstream.idle_ms, READ_BYTES, tls,
-                         self.upstream.tls.server_name)
+        self.client_tls = [ClientContext(self.upstream.tls)] if self.upstream.HasField("tls") else []
+        self.pool = Pool(self.upstream.connections, self.upstream.idle_ms, READ_BYTES,
+                         self.client_tls[0].context if self.client_tls else None, self.upstream.tls.server_name)
         self.flights: dict[int, Flight] = {}
         self.clients: set[Client] = set()
         self.stopping = False
@@ -351,6 +351,7 @@
         self._sweeper: asyncio.Task[None] | None = None
         self._resuming: set[asyncio.Task[None]] = set()
         self._checks = Checks(self, door.auth)
+        self.client_tls += self._checks.tls
         self._carry: dict[type, Callable[[Any], None]] = {
             ev.Open: self._open, ev.Abandon: self._abandon, ev.Pass: self._pass, ev.Reply: self._reply,
             ev.Break: self._break, ev.Add: self._add, ev.Tried: self._tried, ev.Listen: self._listen,
--- a/tests/test_auth_answerer.py
+++ b/tests/test_auth_answerer.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+from google.protobuf import text_format
 from hypothesis import given
 from hypothesis import settings as hypo
 from hypothesis import strategies as st
@@ -26,7 +27,9 @@
     """A door that is asked."""
 
     def __init__(self, more: str = "") -> None:
-        self.engine = Engine(parse_door(FORWARDED + more, "d"), 1)
+        door = parse_door(FORWARDED, "d")
+        text_format.Merge(more, door)
+        self.engine = Engine(door, 1)
         self.now, self.did, self._ticket = 100_000.0, [], 0
 
     def sub(self, uri: str = "/read/1", customer: str = "free", peer: str = "10.0.0.1", **more: str) -> int:
@@ -83,6 +86,12 @@
     assert rig.reply(rig.sub(**changes)).status == status
 
 
+@pytest.mark.parametrize(("shown", "status"), [("s3cret", 200), ("s3cre", 403), ("", 403), ("S3CRET", 403)])
+def test_a_shared_secret_must_be_shown_where_one_is_set(shown: str, status: int) -> None:
+    rig = Asked("forward_auth { secret_header: 'X-Edge' secret: 's3cret' }")
+    assert rig.reply(rig.sub(x_edge=shown)).status == status
+
+
 def test_doubled_or_underscored_twins_are_turned_away() -> None:
     for twin in (b"x-forwarded-uri", b"x_forwarded_uri", b"x-forwarded_uri"):
         rig = Asked()
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -18,7 +18,7 @@
 from martenstep.config import door_pb2 as pb
 from martenstep.config.settings import parse_door
 from martenstep.config.text import Faults
-from martenstep.config.tls import ServerContext, TlsError, client_context
+from martenstep.config.tls import ClientContext, ServerContext, TlsError, client_context
 from martenstep.counter.client import CounterClient, Journal
 from martenstep.interface import Verdict
 from tests.door_rig import DOOR
@@ -187,6 +187,19 @@
     run(test())
 
 
+def test_what_a_door_shows_to_others_is_changed_too(tmp_path: Path) -> None:
+    issuer = Issuer(tmp_path)
+    files = issuer.issue("door")
+    made = ClientContext(pb.ClientTls(ca=issuer.file, certificate=files[0], key=files[1]))
+    before = made.context
+    issuer.issue("door", days=20)
+    made.reload()
+    assert made.context is before  # connections and pools hold it
+    Path(files[1]).write_text("no key")
+    with pytest.raises(TlsError, match=r"door\.pem"):
+        made.reload()
+
+
 def test_the_end_of_a_certificate_is_seen_coming(tmp_path: Path) -> None:
     issuer = Issuer(tmp_path)
     for days in (30.0, 3.0, -2.0):
