A check that waits once more sheds past the bound of waiting requests

Cause: shedding happened only as a request began to wait; a failed check came back into the queue with all its askers, and more waited than the bound allows. Found by the state machine over any order (5 waiting where 4 may). Change: shed after a failure as well.

--- a/martenstep/auth/core.py
+++ b/martenstep/auth/core.py
@@ -314,6 +314,7 @@
         if check is not None:
             self._fail(now, check)
             self._begin(now)
+            self._shed()  # a check that waits once more brings all its asks back
         return self._done()
 
     def tick(self, now: float) -> list[Action]:
@@ -330,6 +331,7 @@
                     self._did.append(Stop(number, attempt))
                     self._fail(now, check)
         self._begin(now)
+        self._shed()
         return self._done()
 
     # Inside ---------------------------------------------------------------------------------------------
--- a/tests/test_auth_core.py
+++ b/tests/test_auth_core.py
@@ -189,6 +189,16 @@
     assert {a.reason for a in bench.did if isinstance(a, Unsure)} == {Reason.SHED}
 
 
+def test_a_check_that_waits_once_more_keeps_the_bound() -> None:
+    bench = Bench(services=1, per_service=1, total=1, waiting=4, attempts=2)
+    for ticket in range(10):
+        bench.ask(ticket, "same")  # all join the check that is out: none of them waits
+    for ticket in range(20, 24):
+        bench.ask(ticket, f"k{ticket}", group="other")
+    bench.fail(bench.starts()[0])
+    assert bench.core._crowd.total <= 4
+
+
 def test_shedding_costs_the_same_however_many_wait_and_from_however_many_groups() -> None:
     """Counted in steps, not in time: the crowd's books are touched a fixed number of times an ask."""
     steps = []
