Checks are shed by the plan that a credential's last verdict told; any order of events with an authentication service

Change: the group that gives way is the plan as last told for the credential, of those that nobody vouched for the host.

--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -12,7 +12,7 @@
 import hashlib
 import heapq
 import random
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from typing import Any
 
@@ -33,6 +33,7 @@
 COUNT_GRACE_MS = 1.0  # the store answers its time-outs itself; this long after them the engine does
 ID_BYTES = 200  # of a client's request id at most: longer ones are cut
 EDGE = 0  # the number of the edge proxy as a server
+PLANS_KNOWN = 20_000  # credentials whose plan is kept, to shed by it
 NOBODY = api.Plan("")  # of a request whose customer is not known yet
 # Of a denying answer, what a client needs to do better: where to log in, and how.
 DENY_HEADERS = frozenset((b"content-type", b"www-authenticate", b"location", b"set-cookie", b"retry-after",
@@ -55,8 +56,8 @@
 class Exchange:
     """One client request, from its head to the end of its last attempt."""
 
-    __slots__ = ("arrived", "attempt", "deadline", "guarded", "head", "label", "one_attempt", "rid", "routed",
-                 "servers", "settled", "ticket", "timed_out", "told", "trace", "verdict")
+    __slots__ = ("arrived", "attempt", "credential", "deadline", "guarded", "head", "label", "one_attempt", "rid",
+                 "routed", "servers", "settled", "ticket", "timed_out", "told", "trace", "verdict")
 
     def __init__(self, arrived: ev.Arrived, routed: Routed, rid: str, label: str, now: float,
                  deadline: float) -> None:
@@ -68,6 +69,7 @@
         self.settled = False  # it has its final answer, or its client is gone
         self.guarded: Guarded | None = None  # an authentication service is to tell its customer
         self.verdict: auth.Answer | None = None  # what it said
+        self.credential = b""  # a digest
         self.told = False  # the module knows of it
         self.trace: Trace | None = None
         self.one_attempt = False  # its body cannot be written again
@@ -95,6 +97,7 @@
         self._records = door.HasField("counter")  # the counter service keeps tries, Redis only counts
         self._max_wait = door.max_retry_after_ms
         self._sampler = Sampler(door.tracing.share, random.Random(~seed)) if door.HasField("tracing") else None
+        self._plan_of: OrderedDict[bytes, str] = OrderedDict()  # by credential, as last told
         self._auth: auth.Core | None = None
         if door.HasField("auth"):
             told = door.auth
@@ -445,9 +448,11 @@
                  (b"x-forwarded-host", host), (b"x-forwarded-uri", head.target),
                  (b"x-forwarded-for", head.peer.encode()),
                  (self._id_header, exchange.label.encode("latin-1", "replace"))]
-        group = header(head.headers, b"host") or b""
-        self._ask_did(self._auth.ask(self._now, exchange.ticket, digest.digest(), remaining,
-                                     group.decode("latin-1"), guarded.fail_open, sent))
+        # Who gives way where too many wait goes by plan, as the credential's last verdict told it; those that nobody
+        # has vouched for yet go by host.
+        key = exchange.credential = digest.digest()
+        group = self._plan_of.get(key) or "host " + host.decode("latin-1")
+        self._ask_did(self._auth.ask(self._now, exchange.ticket, key, remaining, group, guarded.fail_open, sent))
 
     def _ask_did(self, actions: list[auth.Action]) -> None:
         for action in actions:
@@ -476,6 +481,11 @@
         if isinstance(routed, Unroutable):
             self._answer(exchange, routed.status, routed.reason, None)
         else:
+            if answer is not None:
+                self._plan_of[exchange.credential] = routed.plan.name
+                self._plan_of.move_to_end(exchange.credential)
+                if len(self._plan_of) > PLANS_KNOWN:
+                    self._plan_of.popitem(last=False)
             self._admit(exchange, routed)
 
     def _denied(self, exchange: Exchange, answer: auth.Answer) -> None:
--- a/tests/test_auth_door.py
+++ b/tests/test_auth_door.py
@@ -159,6 +159,19 @@
     assert len(rig.of(ev.Reply)) + len(rig.of(ev.Pass)) == 5000
 
 
+def test_where_too_many_wait_the_largest_plan_gives_way() -> None:
+    rig = Door("auth { waiting: 6 total: 1 per_service: 1 }")
+    for plan, customers in (("plain", ("p1", "p2")), ("open", ("o1", "o2", "o3", "o4", "o5", "o6"))):
+        for customer in customers:  # each credential's plan is learnt by a first verdict
+            rig.ask("/safe/1", authorization=customer)
+            rig.verdict(200, [(b"x-auth-customer", customer.encode()), (b"x-auth-plan", plan.encode())])
+            rig.count_all(1.0)
+    rig.ask("/safe/1", authorization="first")  # the one check that may be out
+    waits = {name: rig.ask("/safe/2", authorization=name) for name in ("p1", "p2", "o1", "o2", "o3", "o4", "o5", "o6")}
+    shed = {name for name, ticket in waits.items() if rig.finals(ticket)}
+    assert shed == {"o1", "o2"} and all(b"check shed" in rig.reply(waits[name]).body for name in shed)
+
+
 def test_an_unsafe_request_is_checked_once_for_all_its_attempts() -> None:
     rig = Door()
     ticket = rig.ask("/bill/1", authorization="t")
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -10,6 +10,7 @@
 from martenstep.door.events import Ending
 from martenstep.interface import Scope, State, Verdict
 from tests.door_rig import QUIET, Rig, listed
+from tests.test_auth_door import Door as Guarded
 
 PATHS = ("/read/1", "/write/free/1", "/pay/1")
 
@@ -19,7 +20,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.rig = Rig()
+        self.rig: Rig = Rig()
         self.seen = 0
         self.tickets: list[int] = []
         self.out: dict[int, int] = {}  # attempts that the driver holds, by ticket
@@ -136,3 +137,59 @@
 
 Door.TestCase.settings = hypo(max_examples=120, stateful_step_count=40, deadline=None, derandomize=True)
 TestDoor = Door.TestCase
+
+
+class GuardedDoor(Door):
+    """The same door with an authentication service that does as it likes, too."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rig = Guarded()
+        self.seen = 0
+        self.checks: dict[int, int] = {}
+        self.credential: dict[int, str] = {}  # by ticket, of guarded requests
+        self.given: set[str] = set()  # credentials with a positive verdict
+
+    def _look(self) -> None:
+        for action in self.rig.did[self.seen:]:
+            match action:
+                case ev.Ask(check=check, attempt=attempt):
+                    assert check not in self.checks, "two attempts of one check"
+                    self.checks[check] = attempt
+                case ev.StopAsking(check=check, attempt=attempt):
+                    assert self.checks.pop(check) == attempt
+                case ev.Open(ticket=ticket) if ticket in self.credential:
+                    assert self.credential[ticket] in self.given, "sent on without a positive verdict"
+        super()._look()
+
+    @rule(path=st.sampled_from(("/safe/1", "/loose/1", "/bill/1")), who=st.sampled_from(("a", "b")),
+          deadline=st.sampled_from(("50", "400", "4000")))
+    def arrive_guarded(self, path: str, who: str, deadline: str) -> None:
+        if path != "/loose/1":
+            self.credential[self.rig._ticket + 1] = who
+        self.tickets.append(self.rig.ask(path, method="POST", authorization=who, x_deadline_ms=deadline))
+        self._look()
+
+    @precondition(lambda self: self.checks)
+    @rule(data=st.data(), status=st.sampled_from((200, 200, 401, 500)), keep=st.booleans(), fails=st.booleans())
+    def verdict(self, data: st.DataObject, status: int, keep: bool, fails: bool) -> None:
+        check = data.draw(st.sampled_from(sorted(self.checks)))
+        attempt = self.checks.pop(check)
+        asked = next(ask for ask in self.rig.of(ev.Ask) if ask.check == check)
+        who = dict(asked.headers)[b"authorization"].decode()
+        if fails:
+            self.rig.tell(ev.CheckFailed(check, attempt))
+        else:
+            if status == 200:
+                self.given.add(who)
+            headers = [(b"x-auth-customer", b"free"), *([(b"cache-control", b"max-age=5")] if keep else [])]
+            self.rig.tell(ev.Checked(check, attempt, status, headers))
+        self._look()
+
+    def teardown(self) -> None:
+        super().teardown()
+        assert all(self.rig.engine.held[f"auth_{name}"] == 0 for name in ("asks", "checks", "queued", "out", "passed"))
+
+
+GuardedDoor.TestCase.settings = hypo(max_examples=120, stateful_step_count=40, deadline=None, derandomize=True)
+TestGuardedDoor = GuardedDoor.TestCase
