Traces keep whole microseconds; their test no longer rests on the wall clock

Cause: a span's wall time was cut off, not rounded, and the test of the time line took the machine's clock: it failed in a clean checkout by a microsecond, once. Change: round, and a fixed clock in the test.

--- a/martenstep/door/traces.py
+++ b/martenstep/door/traces.py
@@ -21,7 +21,7 @@
 
 PARENT = re.compile(rb"^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$")
 Value = str | int | float | bool
-NS_OF_MS = 1_000_000
+NS_OF_US = 1000
 
 
 @dataclass(slots=True)
@@ -127,7 +127,7 @@
         self._offset = wall_ms() - clock_ms()
 
     def _ns(self, at: float) -> int:
-        return int((at + self._offset) * NS_OF_MS)
+        return round((at + self._offset) * 1000.0) * NS_OF_US  # what a double still holds of a wall time
 
     def take(self, trace: Trace) -> None:
         """One finished request."""
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from pathlib import Path
 
 import pytest
@@ -90,7 +89,7 @@
     rig.pass_time(6)
     rig.serve(ticket)
     file = tmp_path / "traces.jsonl"
-    exporter = Exporter(file, "door-0", lambda: time.time() * 1000, lambda: 100_000.0)
+    exporter = Exporter(file, "door-0", lambda: 1_700_000_000_000.0, lambda: 100_000.0)
     for trace in traces(rig):
         exporter.take(trace)
     exporter.close()
