--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 from typing import NoReturn
@@ -178,6 +179,9 @@
     except Faults as error:
         _told(error)
     bar = _Bar(loaded.name)
+    # Told to end, it tears all down as when interrupted; SIGINT is ignored where a shell starts it in the background.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.default_int_handler)
     try:
         asyncio.run(play_day(loaded, out, bar.move))
     except (PlayError, OSError) as error:
