--- a/martenstep/counter/client.py
+++ b/martenstep/counter/client.py
@@ -19,6 +19,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import msgspec
@@ -210,8 +211,7 @@
 
     def _queue_record(self, made: Record) -> None:
         sequence = self._next()
-        self._send(sequence, Record(sequence, made.time_ms, made.units, made.beyond, made.request, made.customer,
-                                    made.plan, made.cls))
+        self._send(sequence, replace(made, sequence=sequence))
 
     def _next(self) -> int:
         self._sequence += 1
--- a/martenstep/counter/files.py
+++ b/martenstep/counter/files.py
@@ -84,6 +84,12 @@
         """Let the directory go."""
         os.close(self._lock)
 
+    def __enter__(self) -> Disk:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
     def _sync_directory(self) -> None:
         number = os.open(self._path, os.O_RDONLY)
         try:
--- a/martenstep/counter/follow.py
+++ b/martenstep/counter/follow.py
@@ -37,7 +37,7 @@
         try:
             opened = open_log(self._disk)
             self.term = rebuild(opened, Limits()).term
-            self._writer = Writer(self._disk, open_log(self._disk), segment_bytes)
+            self._writer = Writer(self._disk, opened, segment_bytes)
         except BaseException:
             self._disk.close()
             raise
@@ -103,11 +103,8 @@
 
 def promote(directory: Path) -> int:
     """Begin a new term in a follower's log: whoever serves it is the leader.  Gives the term."""
-    disk = Disk(directory)
-    try:
+    with Disk(directory) as disk:
         keeper = Keeper(disk, Limits())
         term = keeper.begin_term()
         keeper.close()
         return term
-    finally:
-        disk.close()
--- a/martenstep/counter/frames.py
+++ b/martenstep/counter/frames.py
@@ -176,6 +176,13 @@
 Frame = Command | Reply
 
 
+def without(told: Add | Read | Record | Total | Stored, status: Status) -> Total | Stored:
+    """The reply to a command, or in place of a reply to one, that has no result but a status."""
+    if isinstance(told, Record | Stored):
+        return Stored(told.sequence, status)
+    return Total(told.sequence, status, 0.0)
+
+
 def framed(payload: bytes) -> bytes:
     """A payload with its head."""
     return HEAD.pack(len(payload), crc32c(payload)) + payload
--- a/martenstep/counter/keeper.py
+++ b/martenstep/counter/keeper.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from martenstep.counter.files import Files
-from martenstep.counter.frames import Add, Read, Record, Reply, Status, Stored, Total
+from martenstep.counter.frames import Add, Read, Record, Reply, Status, Stored, Total, without
 from martenstep.counter.log import LogError, Opened, Writer, compact, open_log, write_snapshot
 from martenstep.counter.state import ENTRY_ADD, Counter, Door, Limits, read_add, term_entry
 
@@ -108,7 +108,7 @@
     def command(self, who: Any, session: Session, command: Add | Read | Record) -> None:
         """Take in one command; its reply comes with the group."""
         if self.failed and (not isinstance(command, Read) or command.name in self._touched):
-            self.group.replies.append((who, _unwritten(command)))
+            self.group.replies.append((who, without(command, Status.UNWRITTEN)))
             return
         door = session.door
         current = self.counter.door(door.name)
@@ -144,7 +144,8 @@
         # Nobody is told of what may not be there: neither this group nor what was decided upon it since.
         since, self.group = self.group, Group()
         doubtful = [*group.replies, *since.replies]
-        return [(who, _doubted(reply)) for who, reply in doubtful]
+        return [(who, without(reply, Status.UNWRITTEN) if isinstance(reply, Total | Stored) else reply)
+                for who, reply in doubtful]
 
     def commit(self) -> list[tuple[Any, Reply]]:
         """Take, write and answer in one step."""
@@ -177,19 +178,3 @@
         """Make the rest durable and close."""
         if not self.failed:
             self._writer.close()
-
-
-def _unwritten(command: Add | Read | Record) -> Reply:
-    if isinstance(command, Record):
-        return Stored(command.sequence, Status.UNWRITTEN)
-    return Total(command.sequence, Status.UNWRITTEN, 0.0)
-
-
-def _doubted(reply: Reply) -> Reply:
-    match reply:
-        case Total():
-            return Total(reply.sequence, Status.UNWRITTEN, 0.0)
-        case Stored():
-            return Stored(reply.sequence, Status.UNWRITTEN)
-    return reply
-
--- a/martenstep/counter/log.py
+++ b/martenstep/counter/log.py
@@ -149,27 +149,22 @@
     entries: list[bytes] = []
     at, number, size = HEADER.size, segment.first, len(data)
     # The same test as _whole_at's, in line: a restart reads millions of them.
-    unpack, least, most, begin, body = RECORD.unpack_from, RECORD.size, MOST_ENTRY, _CHECKED.size, RECORD.size
-    while at + least <= size:
+    unpack, most, begin, body = RECORD.unpack_from, MOST_ENTRY, _CHECKED.size, RECORD.size
+    while at + body <= size:
         length, check, told, _ = unpack(data, at)
         end = at + body + length
         if told != number or not 1 <= length <= most or end > size or crc32c(data[at + begin : end]) != check:
             break
         entries.append(data[at + body : end])
         at, number = end, number + 1
-    while at < size:
-        found = _whole_at(data, at)
-        if found is None or found[0] != number:
-            if not last:
-                raise LogError(segment.name, at, f"record {number} is damaged")
-            behind = _synced_behind(data, at, number)
-            if behind is not None:
-                raise LogError(segment.name, at, f"record {number} is damaged, and later ones stand at byte {behind}")
-            return Scan(segment, entries, at, True)
-        entries.append(found[2])
-        at += RECORD.size + len(found[2])
-        number += 1
-    return Scan(segment, entries, at, False)
+    if at == size:
+        return Scan(segment, entries, at, False)
+    if not last:
+        raise LogError(segment.name, at, f"record {number} is damaged")
+    behind = _synced_behind(data, at, number)
+    if behind is not None:
+        raise LogError(segment.name, at, f"record {number} is damaged, and later ones stand at byte {behind}")
+    return Scan(segment, entries, at, True)
 
 
 def likeness(number: int, entry: bytes) -> int:
--- a/martenstep/counter/read.py
+++ b/martenstep/counter/read.py
@@ -8,16 +8,7 @@
 
 from martenstep.counter.files import Disk
 from martenstep.counter.keeper import rebuild
-from martenstep.counter.log import (
-    HEADER,
-    LogError,
-    Opened,
-    open_log,
-    read_snapshot,
-    scan,
-    segments,
-    snapshots,
-)
+from martenstep.counter.log import HEADER, LogError, open_log, read_snapshot, scan, segments, snapshots
 from martenstep.counter.state import ENTRY_DOOR, ENTRY_TRY, Counter, Limits, TryEntry, read_door, read_try
 
 
@@ -33,8 +24,7 @@
 
 def verify(directory: Path) -> Verified:
     """Read everything, old segments too; raises LogError at the first damage."""
-    disk = Disk(directory)
-    try:
+    with Disk(directory) as disk:
         found = segments(disk)
         records = torn = 0
         for index, segment in enumerate(found):
@@ -48,15 +38,12 @@
             read_snapshot(disk, name)
         open_log(disk)
         return Verified(len(found), len(kept), records, torn)
-    finally:
-        disk.close()
 
 
 def repair(directory: Path, file: str, offset: int) -> int:
     """Cut a segment at an offset that a person gives, and remove what comes after it; gives the bytes lost.  Nothing
     calls this by itself: what is cut may have been acknowledged."""
-    disk = Disk(directory)
-    try:
+    with Disk(directory) as disk:
         found = segments(disk)
         names = [segment.name for segment in found]
         if file not in names:
@@ -65,60 +52,36 @@
         if not HEADER.size <= offset <= size:
             raise LogError(file, offset, f"expected an offset from {HEADER.size} to {size}")
         lost = size - offset
-        cut = found[names.index(file)]
-        for later in found[names.index(file) + 1:]:
+        place = names.index(file)
+        for later in found[place + 1:]:
             lost += len(disk.read(later.name))
             disk.remove(later.name)
         disk.append(file, offset).close()
-        reached = cut.first + len(scan(disk, cut, True).entries)
+        reached = found[place].first + len(scan(disk, found[place], True).entries)
         for name, records in snapshots(disk):
             if records > reached:  # it knows of what is cut
                 disk.remove(name)
         return lost
-    finally:
-        disk.close()
-
-
-def opened(directory: Path, whole: bool) -> tuple[Disk, Opened]:
-    """A log for reading; whole: every record that is kept, not only those after the snapshot."""
-    disk = Disk(directory)
-    try:
-        if not whole:
-            return disk, open_log(disk)
-        found = segments(disk)
-
-        def entries() -> Iterator[bytes]:
-            for index, segment in enumerate(found):
-                yield from scan(disk, segment, index == len(found) - 1).entries
-
-        return disk, Opened(None, found[0].first if found else 0, entries(), 0, None, 0)
-    except BaseException:
-        disk.close()
-        raise
 
 
 def rebuilt(directory: Path, limits: Limits) -> Counter:
     """The state that the log tells; raises LogError."""
-    disk, log = opened(directory, whole=False)
-    try:
-        return rebuild(log, limits)
-    finally:
-        disk.close()
+    with Disk(directory) as disk:
+        return rebuild(open_log(disk), limits)
 
 
 def each_try(directory: Path, customer: str | None = None, since_ms: float = float("-inf"),
              until_ms: float = float("inf")) -> Iterator[tuple[str, TryEntry]]:
-    """Every recorded try that is kept, in the order of the log, with its door's name: once each."""
-    disk, log = opened(directory, whole=True)
+    """Every recorded try that is kept, old segments too, in the order of the log, with its door's name: once each."""
     doors: dict[int, str] = {}
-    try:
-        for entry in log.entries:
-            if entry[0] == ENTRY_DOOR:
-                _, number, _, name = read_door(entry)
-                doors[number] = name
-            elif entry[0] == ENTRY_TRY:
-                told = read_try(entry)
-                if (not told.known and customer in (None, told.customer) and since_ms <= told.time_ms < until_ms):
-                    yield doors.get(told.door, f"door number {told.door}"), told
-    finally:
-        disk.close()
+    with Disk(directory) as disk:
+        found = segments(disk)
+        for index, segment in enumerate(found):
+            for entry in scan(disk, segment, index == len(found) - 1).entries:
+                if entry[0] == ENTRY_DOOR:
+                    _, number, _, name = read_door(entry)
+                    doors[number] = name
+                elif entry[0] == ENTRY_TRY:
+                    told = read_try(entry)
+                    if not told.known and customer in (None, told.customer) and since_ms <= told.time_ms < until_ms:
+                        yield doors.get(told.door, f"door number {told.door}"), told
--- a/martenstep/counter/service.py
+++ b/martenstep/counter/service.py
@@ -35,11 +35,10 @@
     Refused,
     Reply,
     Status,
-    Stored,
-    Total,
     Welcome,
     decode,
     encode,
+    without,
 )
 from martenstep.counter.keeper import Group, Keeper, Session
 from martenstep.counter.log import RECORD, LogError, likeness, read_records, records_of
@@ -59,13 +58,6 @@
     return count
 
 
-def turned_away(command: Add | Read | Record) -> Reply:
-    """Too many wait: nothing was counted."""
-    if isinstance(command, Record):
-        return Stored(command.sequence, Status.FULL)
-    return Total(command.sequence, Status.FULL, 0.0)
-
-
 def limits_of(service: pb.Service) -> Limits:
     """The bounds that the settings state."""
     return Limits(service.window, service.try_window_ms, service.max_tries, service.max_names, service.period_ms)
@@ -291,7 +283,7 @@
         keeper = self.keeper
         keeper.counter.clock(time.time() * 1000)
         if len(keeper.group.replies) >= self.settings.max_waiting:
-            connection.send(encode(turned_away(frame)))
+            connection.send(encode(without(frame, Status.FULL)))
             return
         keeper.command(connection, session, frame)
         if len(keeper.group.replies) >= self.settings.log.commit_records:
--- a/martenstep/counter/state.py
+++ b/martenstep/counter/state.py
@@ -23,7 +23,7 @@
 import msgspec
 import xxhash
 
-from martenstep.counter.frames import Add, FrameError, Read, Record, Reply, Status, Stored, Total
+from martenstep.counter.frames import Add, FrameError, Read, Record, Reply, Status, Stored, Total, without
 
 ENTRY_ADD, ENTRY_TRY, ENTRY_DOOR, ENTRY_TERM = 1, 2, 3, 5  # 4 is the log's seal, which says nothing
 _ADD = struct.Struct(">BdIQQdd")  # kind, time, door, sequence, name, units, expiry
@@ -74,8 +74,13 @@
     term: int = 0
 
 
-def digest_of(*words: Any) -> int:
+def _digest_of(told: Add | Record | TryEntry) -> int:
     """Tells commands under one sequence apart."""
+    words: tuple[Any, ...]
+    if isinstance(told, Add):
+        words = told.name, told.units, told.expire_ms
+    else:
+        words = told.request, told.customer, told.plan, told.cls, told.units, told.beyond, told.time_ms
     return xxhash.xxh64_intdigest(repr(words).encode())
 
 
@@ -124,33 +129,28 @@
         if isinstance(command, Read):
             return Total(command.sequence, Status.DONE, self.total(command.name)), None
         if epoch != door.epoch:
-            return _failed(command, Status.FENCED), None
+            return without(command, Status.FENCED), None
         sequence = command.sequence
-        if isinstance(command, Add):
-            digest = digest_of(command.name, command.units, command.expire_ms)
-        else:
-            digest = digest_of(command.request, command.customer, command.plan, command.cls, command.units,
-                               command.beyond, command.time_ms)
         before = door.results.get(sequence)
         if before is not None:
-            if before[0] != digest:
-                return _failed(command, Status.REUSED), None
+            if before[0] != _digest_of(command):
+                return without(command, Status.REUSED), None
             if isinstance(command, Add):
                 return Total(sequence, Status.REPEATED, before[1]), None
             return Stored(sequence, Status.KNOWN if before[1] else Status.REPEATED), None
         if sequence <= door.highest - self._limits.window:
-            return _failed(command, Status.TOO_OLD), None
+            return without(command, Status.TOO_OLD), None
         if isinstance(command, Add):
             return self._add(door, command)
         return self._record(door, command)
 
     def _add(self, door: Door, command: Add) -> tuple[Reply, bytes | None]:
         if not (math.isfinite(command.units) and 0 < command.expire_ms < math.inf):
-            return _failed(command, Status.BAD), None
+            return without(command, Status.BAD), None
         if self._live(command.name) is None and len(self._names) >= self._limits.max_names:
             self._sweep()
             if len(self._names) >= self._limits.max_names:
-                return _failed(command, Status.FULL), None
+                return without(command, Status.FULL), None
         entry = _ADD.pack(ENTRY_ADD, self.now, door.number, command.sequence, command.name, command.units,
                           command.expire_ms)
         self.apply(entry)
@@ -158,15 +158,15 @@
 
     def _record(self, door: Door, command: Record) -> tuple[Reply, bytes | None]:
         if not (math.isfinite(command.time_ms) and math.isfinite(command.units)):
-            return _failed(command, Status.BAD), None
+            return without(command, Status.BAD), None
         oldest = max(self._horizon, self.now - self._limits.try_window_ms)
         if command.time_ms < oldest or command.time_ms > self.now + AHEAD_MS:
-            return _failed(command, Status.TOO_OLD if command.time_ms < oldest else Status.BAD), None
+            return without(command, Status.TOO_OLD if command.time_ms < oldest else Status.BAD), None
         known = try_key(command.request) in self._tries
         if not known and len(self._tries) >= self._limits.max_tries:
             self._forget_tries()
             if len(self._tries) >= self._limits.max_tries:
-                return _failed(command, Status.FULL), None
+                return without(command, Status.FULL), None
         texts = [text.encode() for text in (command.request, command.customer, command.plan, command.cls)]
         if sum(map(len, texts)) > 0xFFFF:
             raise FrameError("a try whose words are too long")
@@ -192,13 +192,12 @@
                 self._expiries.append((expires, name))
                 self._expire()
             door = self._by_number[number]
-            self._remember(door, sequence, digest_of(name, units, expire_ms), total)
+            self._remember(door, sequence, _digest_of(Add(sequence, name, units, expire_ms)), total)
         elif kind == ENTRY_TRY:
             told = read_try(entry)
             self.now = max(self.now, told.at)
             door = self._by_number[told.door]
-            digest = digest_of(told.request, told.customer, told.plan, told.cls, told.units, told.beyond, told.time_ms)
-            self._remember(door, told.sequence, digest, float(told.known))
+            self._remember(door, told.sequence, _digest_of(told), float(told.known))
             if not told.known:
                 self._tries[try_key(told.request)] = told.time_ms
                 use = self._uses.setdefault((told.customer, told.plan, int(told.time_ms // self._limits.period_ms)),
@@ -367,9 +366,3 @@
         texts.append(entry[place : place + size].decode())
         place += size
     return TryEntry(at, door, sequence, time_ms, units, bool(beyond), bool(known), *texts)
-
-
-def _failed(command: Add | Record, status: Status) -> Reply:
-    if isinstance(command, Add):
-        return Total(command.sequence, status, 0.0)
-    return Stored(command.sequence, status)
