A leader that does not sync each group no longer sends a follower the same records for ever

Cause: with durable: false the end of a group kept for followers was taken from what is synced, which lags behind what was written; the sender went on from there, sent the same records again and again, and its loop held the whole service. Change: the end comes from the records themselves.

--- a/martenstep/counter/service.py
+++ b/martenstep/counter/service.py
@@ -307,15 +307,17 @@
             self._confirmed.clear()
             await self._confirmed.wait()
 
-    def _tell(self, group: Group) -> None:
-        """More is durable: followers may have it."""
-        after = self.keeper.synced
+    def _tell(self, group: Group) -> int:
+        """More is written, and followers may have it once it is durable; gives the number behind the group's last
+        record."""
+        after = group.first + records_in(group.data)
         self._recent.append((group.first, group.data, after))
         self._recent_bytes += len(group.data)
         while self._recent_bytes > self.settings.recent_bytes and len(self._recent) > 1:
             self._recent_bytes -= len(self._recent.popleft()[1])
         news, self.news = self.news, asyncio.Event()
         news.set()
+        return after
 
     async def start(self) -> int:
         """Bind; gives the port."""
@@ -352,9 +354,9 @@
             if group.entries:
                 fault = await loop.run_in_executor(self._writer, self.keeper.write, group)
                 if not fault:
-                    self._tell(group)
+                    after = self._tell(group)
                     if self.settings.wait_for_follower:
-                        await self._held(group.first + records_in(group.data))
+                        await self._held(after)
             self.groups += 1
             self._answer(self.keeper.written(group, fault))
             if self.keeper.snapshot_due() and not self.keeper.group.entries:
--- a/tests/test_counter_follow.py
+++ b/tests/test_counter_follow.py
@@ -53,6 +53,23 @@
     run(test())
 
 
+def test_a_leader_that_does_not_sync_ships_each_record_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path / "a") as (service, port):
+            service.keeper._durable, service.keeper._writer._segment_bytes = False, 4096
+            follower = Follower(tmp_path / "b")
+            task = asyncio.create_task(follower.follow("127.0.0.1", port))
+            wire = await Wire.to(port, fr.Hello("door", 1))
+            for first in range(1, 200, 10):  # a segment's end syncs what was written before it
+                await adds(wire, first, 10)
+            await caught_up(follower, service.keeper.synced)
+            assert service.keeper.synced > 50 and not task.done()  # nothing was sent that did not follow
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            follower.close()
+    run(test())
+
+
 def test_in_step_nothing_is_answered_that_a_follower_does_not_hold(tmp_path: Path) -> None:
     async def test() -> None:
         async with served(tmp_path / "a", "wait_for_follower: true") as (_, port):
