One loader for all settings files, one place that tells of a damaged log on the command line

Seven commands imported the same errors and told them alike; a context manager does. A check put between an if and its elif (fail_open) stands by itself again. Messages and exit codes as before.

--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 import sys
+from collections.abc import Iterator
 from pathlib import Path
-from typing import NoReturn
+from typing import NoReturn, TypeVar
 
 import click
 import msgspec
@@ -88,7 +90,10 @@
 PORT = click.option("--port", type=click.IntRange(0, 65535), default=0, help="0: any that is free.")
 
 
-def _json(text: str, kind: type[msgspec.Struct], what: str) -> msgspec.Struct:
+S = TypeVar("S", bound=msgspec.Struct)
+
+
+def _json(text: str, kind: type[S], what: str) -> S:
     try:
         return msgspec.json.decode(text, type=kind, strict=False)
     except msgspec.DecodeError as error:
@@ -102,7 +107,6 @@
     """A photo server."""
     from martenstep.standins import photo
     made = _json(settings, photo.PhotoConfig, "--config")
-    assert isinstance(made, photo.PhotoConfig)
     asyncio.run(photo.run(made, trace))
 
 
@@ -143,7 +147,6 @@
     """Clients that play a schedule, open loop."""
     from martenstep.standins import clients as stand_in
     made = _json(manners, stand_in.Manners, "--manners")
-    assert isinstance(made, stand_in.Manners)
     asyncio.run(stand_in.run(schedule, made, trace))
 
 
@@ -229,9 +232,17 @@
 DIRECTORY = click.argument("directory", type=click.Path(path_type=Path, exists=True, file_okay=False))
 
 
-def _damage(error: Exception) -> NoReturn:
-    click.echo(str(error), err=True)
-    sys.exit(1)
+@contextlib.contextmanager
+def _log_faults() -> Iterator[None]:
+    """What can be wrong with a log is told in a line; exit 1."""
+    from martenstep.counter.files import LockedError
+    from martenstep.counter.follow import RefusedError
+    from martenstep.counter.log import LogError
+    try:
+        yield
+    except (LogError, LockedError, RefusedError, OSError) as error:
+        click.echo(str(error), err=True)
+        sys.exit(1)
 
 
 @counter.command("serve", epilog=_example("martenstep counter serve deploy/counter.example.txtpb"))
@@ -239,17 +250,13 @@
 def counter_serve(file: Path) -> None:
     """Run a counter service with the settings in FILE until SIGTERM."""
     from martenstep.counter import service
-    from martenstep.counter.files import LockedError
-    from martenstep.counter.log import LogError
     from martenstep.counter.settings import load_service
     try:
         settings = load_service(file)
     except Faults as error:
         _told(error)
-    try:
+    with _log_faults():
         sys.exit(asyncio.run(service.serve(settings)))
-    except (LogError, LockedError, OSError) as error:
-        _damage(error)
 
 
 @counter.command("follow", epilog=_example(
@@ -259,22 +266,12 @@
 def counter_follow(directory: Path, leader: str) -> None:
     """Keep a copy of a service's log in DIRECTORY until SIGTERM."""
     from martenstep.counter import follow
-    from martenstep.counter.files import LockedError
-    from martenstep.counter.log import LogError
     host, _, port = leader.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
         raise click.UsageError(f"--leader: expected HOST:PORT, got {leader!r}")
-    try:
-        made = follow.Follower(directory)
-        try:
-            click.echo(msgspec.json.encode({"ready": {"records": made.records, "term": made.term}}))
-            asyncio.run(made.run(host, int(port)))
-        finally:
-            made.close()
-    except (follow.RefusedError, LogError, LockedError, OSError) as error:
-        _damage(error)
-    except KeyboardInterrupt:
-        sys.exit(0)
+    with _log_faults(), contextlib.suppress(KeyboardInterrupt), contextlib.closing(follow.Follower(directory)) as made:
+        click.echo(msgspec.json.encode({"ready": {"records": made.records, "term": made.term}}))
+        asyncio.run(made.run(host, int(port)))
 
 
 @counter.command("promote", epilog=_example("martenstep counter promote /var/lib/martenstep/copy"))
@@ -282,12 +279,8 @@
 def counter_promote(directory: Path) -> None:
     """Begin a new term in a follower's log.  Serve it then, and point the doors at it: the old leader is fenced."""
     from martenstep.counter import follow
-    from martenstep.counter.files import LockedError
-    from martenstep.counter.log import LogError
-    try:
+    with _log_faults():
         term = follow.promote(directory)
-    except (LogError, LockedError, OSError) as error:
-        _damage(error)
     click.echo(f"term {term} has begun")
 
 
@@ -296,12 +289,8 @@
 def counter_verify(directory: Path) -> None:
     """Read all of a log; exit 1 at the first damage, with file and offset."""
     from martenstep.counter import read
-    from martenstep.counter.files import LockedError
-    from martenstep.counter.log import LogError
-    try:
+    with _log_faults():
         found = read.verify(directory)
-    except (LogError, LockedError, OSError) as error:
-        _damage(error)
     click.echo(f"{found.records} records in {found.segments} segments, {found.snapshots} snapshots, all whole; "
                f"{found.torn} bytes of a torn tail")
 
@@ -314,12 +303,8 @@
 def counter_repair(directory: Path, name: str, upto: int) -> None:
     """Cut a damaged log.  What is cut may have been acknowledged: only with a backup at hand."""
     from martenstep.counter import read
-    from martenstep.counter.files import LockedError
-    from martenstep.counter.log import LogError
-    try:
+    with _log_faults():
         lost = read.repair(directory, name, upto)
-    except (LogError, LockedError, OSError) as error:
-        _damage(error)
     click.echo(f"{lost} bytes are cut")
 
 
@@ -332,13 +317,9 @@
 def counter_rebuild(directory: Path, period_ms: float) -> None:
     """Rebuild the state from the log, and print the totals by customer, plan and period as JSON lines."""
     from martenstep.counter import read
-    from martenstep.counter.files import LockedError
-    from martenstep.counter.log import LogError
     from martenstep.counter.state import Limits
-    try:
+    with _log_faults():
         made = read.rebuilt(directory, Limits(period_ms=period_ms))
-    except (LogError, LockedError, OSError) as error:
-        _damage(error)
     for (customer, plan, period), use in sorted(made.uses().items()):
         click.echo(msgspec.json.encode({"customer": customer, "plan": plan, "from_ms": period * period_ms,
                                         "tries": use.tries, "units": use.units, "beyond": use.beyond}))
@@ -347,16 +328,12 @@
 
 def _export(directory: Path, customer: str | None, since: float | None, until: float | None) -> None:
     from martenstep.counter import read
-    from martenstep.counter.files import LockedError
-    from martenstep.counter.log import LogError
-    try:
+    with _log_faults():
         for door, told in read.each_try(directory, customer, float("-inf") if since is None else since,
                                         float("inf") if until is None else until):
             click.echo(msgspec.json.encode({
                 "time_ms": told.time_ms, "request": told.request, "customer": told.customer, "plan": told.plan,
                 "class": told.cls, "units": told.units, "beyond": told.beyond, "door": door}))
-    except (LogError, LockedError, OSError) as error:
-        _damage(error)
 
 
 SINCE = click.option("--from", "since", type=float, default=None, help="Unix ms.")
--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -11,7 +11,7 @@
 
 from martenstep import interface as api
 from martenstep.config import door_pb2 as pb
-from martenstep.config.text import Fault, Faults, Node, parse
+from martenstep.config.text import Fault, Faults, M, Node, parse
 
 EFFECTS = {pb.SAFE: api.Effect.SAFE, pb.KEYED: api.Effect.KEYED, pb.UNSAFE: api.Effect.UNSAFE}
 GROUPS = {pb.ALL: api.Group.ALL, pb.ZONE: api.Group.ZONE, pb.CELL: api.Group.CELL}
@@ -144,10 +144,10 @@
         check.fault(node, "missing customer_header, customer_segment or authenticate: who the customer is")
     elif entry.HasField("authenticate") and not entry.authenticate:
         check.fault(node.at("authenticate"), "false says nothing: leave it out, or name the customer otherwise")
-    if entry.fail_open and not entry.authenticate:
-        check.fault(node.at("fail_open"), "is of use only with authenticate")
     elif entry.HasField("customer_segment") and not entry.customer_segment:
         check.fault(node.at("customer_segment"), "expected at least 1")
+    if entry.fail_open and not entry.authenticate:
+        check.fault(node.at("fail_open"), "is of use only with authenticate")
 
 
 def _file(check: Checker, message: Any, node: Node, name: str) -> None:
@@ -271,16 +271,16 @@
     check.above_zero(door, root, "max_units", "stop_ms")
     check.number(door, root, "max_retry_after_ms", 0, 1e9)
     classes, plans = list(getattr(door, "class")), list(door.plan)
-    tables: list[tuple[str, list[Any], Callable[[Checker, Any, Node], None], str]] = [
-        ("class", classes, check_class, "name"), ("plan", plans, check_plan, "name"),
+    tables: list[tuple[str, list[Any], Callable[[Checker, Any, Node], None]]] = [
+        ("class", classes, check_class), ("plan", plans, check_plan),
     ]
-    for name, entries, one, key in tables:
+    for name, entries, one in tables:
         nodes = root.all(name)
         if not entries:
             check.fault(root.at(name), "missing: at least one is needed")
         for entry, node in zip(entries, nodes, strict=True):
             one(check, entry, node)
-        check.unique(nodes, entries, key)
+        check.unique(nodes, entries, "name")
     plan_names = {entry.name for entry in plans}
     nodes = root.all("customer")
     ids: dict[int, str] = {}
@@ -321,16 +321,21 @@
         raise Faults(str(path), [Fault(1, 1, "", f"not UTF-8 at byte {error.start}")]) from None
 
 
-def parse_door(text: str, file: str) -> pb.Door:
-    """A door's settings from text; raises Faults with all that is wrong."""
-    door, root, faults = parse(text, pb.Door(), file)
+def parse_checked(text: str, message: M, file: str, check: Callable[[Checker, M, Node], None]) -> M:
+    """A message from text in text format, its form and then its sense checked; raises Faults with all that is wrong."""
+    read, root, faults = parse(text, message, file)
     if not faults:
-        check = Checker()
-        check_door(check, door, root)
-        faults = check.faults
+        checker = Checker()
+        check(checker, read, root)
+        faults = checker.faults
     if faults:
         raise Faults(file, faults)
-    return door
+    return read
+
+
+def parse_door(text: str, file: str) -> pb.Door:
+    """A door's settings from text; raises Faults with all that is wrong."""
+    return parse_checked(text, pb.Door(), file, check_door)
 
 
 def load_door(path: Path) -> pb.Door:
--- a/martenstep/counter/settings.py
+++ b/martenstep/counter/settings.py
@@ -4,8 +4,8 @@
 
 from pathlib import Path
 
-from martenstep.config.settings import Checker, check_server_tls, read_text
-from martenstep.config.text import Faults, Node, parse
+from martenstep.config.settings import Checker, check_server_tls, parse_checked, read_text
+from martenstep.config.text import Node
 from martenstep.counter import counter_pb2 as pb
 
 LEAST_SEGMENT = 4096
@@ -30,14 +30,7 @@
 
 def parse_service(text: str, file: str) -> pb.Service:
     """A service's settings from text; raises Faults with all that is wrong."""
-    service, root, faults = parse(text, pb.Service(), file)
-    if not faults:
-        check = Checker()
-        check_service(check, service, root)
-        faults = check.faults
-    if faults:
-        raise Faults(file, faults)
-    return service
+    return parse_checked(text, pb.Service(), file, check_service)
 
 
 def load_service(path: Path) -> pb.Service:
--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -12,8 +12,8 @@
 from google.protobuf import text_format
 
 from martenstep.config import door_pb2 as cfg
-from martenstep.config.settings import Checker, check_class, check_plan, check_rules, read_text
-from martenstep.config.text import Faults, Node, parse
+from martenstep.config.settings import Checker, check_class, check_plan, check_rules, parse_checked, read_text
+from martenstep.config.text import Node
 from martenstep.lab import day_pb2 as pb
 from martenstep.standins.clients import Planned
 from martenstep.standins.photo import PhotoConfig, WorkOf
@@ -121,14 +121,7 @@
 
 def parse_day(text: str, file: str) -> pb.Day:
     """A day from text; raises Faults with all that is wrong."""
-    day, root, faults = parse(text, pb.Day(), file)
-    if not faults:
-        check = Checker()
-        check_day(check, day, root)
-        faults = check.faults
-    if faults:
-        raise Faults(file, faults)
-    return day
+    return parse_checked(text, pb.Day(), file, check_day)
 
 
 def load_day(path: Path) -> pb.Day:
