Stand-ins: one base for all that serve, one loop for those that speak HTTP

The photo server, Redis, the feed and the authentication service each had their own copy of binding, stopping, dropping connections, writing commands to the trace, answering an unknown command, `down`, shares and running until SIGTERM; the three that speak HTTP each had a loop that read requests, two of them unable to bear a request with a body that expects 100-continue.

Now `StandIn` and `HttpStandIn` hold that, and each stand-in holds what it does differently. What is new to the outside: the photo server also takes `down`.

--- a/martenstep/standins/feed.py
+++ b/martenstep/standins/feed.py
@@ -12,42 +12,31 @@
 
 import h11
 
-from martenstep.standins.base import ControlPort, Trace, now_ms, until_stopped
+from martenstep.standins.base import HttpStandIn, Trace, now_ms, response
 
 KEPT_CHANGES = 64  # a poll from further back gets the whole list
 
 
-class FeedServer:
+class FeedServer(HttpStandIn):
     """The list, its changes, and the polls that wait for them."""
 
+    ends_with = (*HttpStandIn.ends_with, ValueError)  # a poll that makes no sense
+
     def __init__(self, trace: Trace, port: int = 0, lag_ms: float = 0.0, seed: int = 1) -> None:
-        self._trace, self._port, self._lag = trace, port, lag_ms
+        super().__init__(trace, port)
+        self._lag = lag_ms
         self._rng = random.Random(seed)
         self._servers: dict[int, dict[str, Any]] = {}
         self._index = 1
         self._changes: list[tuple[int, list[dict[str, Any]]]] = []
         self._news = asyncio.Event()
-        self._stale = self._down = False
+        self._stale = False
         self._partial = 0.0
         self._cut: set[str] = set()
-        self._writers: dict[asyncio.StreamWriter, str] = {}
-        self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> int:
-        """Bind; gives the port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port, backlog=512)
-        self._port = int(self._server.sockets[0].getsockname()[1])
-        return self._port
-
-    async def stop(self) -> None:
-        """Accept no more."""
-        if self._server is not None:
-            self._server.close()
-
-    def control(self, do: str, words: dict[str, Any]) -> dict[str, Any]:
-        """What can be steered: `update` with changed entries, `stale`, `partial`, `down`, `cut` of doors."""
-        self._trace.write("control", do=do, **{key: value for key, value in words.items() if key != "servers"})
+    def _steered(self, do: str, words: dict[str, Any]) -> dict[str, Any] | None:
+        """Besides what all take: `update` with changed entries, `stale`, `partial`, `cut` of doors."""
         if do == "update":
             if words.get("now"):
                 self._apply(words["servers"])
@@ -63,10 +52,6 @@
             self._changes.clear()
             self._index += 1
             self._wake()
-        elif do == "down":
-            self._down = bool(words["on"])
-            if self._down:
-                self._drop(None)
         elif do == "cut":
             self._cut = set(words["doors"])
             for door in self._cut:
@@ -74,8 +59,8 @@
         elif do == "state":
             return {"index": self._index, "servers": len(self._servers)}
         else:
-            return {"error": f"no such command: {do}"}
-        return {"ok": True}
+            return super()._steered(do, words)
+        return None
 
     async def _later(self, servers: list[dict[str, Any]]) -> None:
         await asyncio.sleep(self._lag * self._rng.uniform(0.5, 1.5) / 1000)
@@ -94,11 +79,6 @@
         self._news.set()
         self._news = asyncio.Event()
 
-    def _drop(self, door: str | None) -> None:
-        for writer, name in list(self._writers.items()):
-            if door is None or name == door:
-                writer.transport.abort()
-
     def _since(self, index: int) -> tuple[str, list[dict[str, Any]]]:
         """What a poll from this index is told: scope and entries."""
         if self._partial or index > self._index or not self._changes or index < self._changes[0][0] - 1:
@@ -113,40 +93,13 @@
                     merged[server["id"]] = server
         return "changes", list(merged.values())
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self._down:
-            writer.transport.abort()
-            return
-        self._writers[writer] = ""
-        connection = h11.Connection(h11.SERVER)
-        try:
-            while True:
-                while (event := connection.next_event()) is h11.NEED_DATA:
-                    connection.receive_data(await reader.read(4096))
-                if isinstance(event, h11.EndOfMessage):
-                    if connection.our_state is h11.DONE:
-                        connection.start_next_cycle()
-                    continue
-                if not isinstance(event, h11.Request):
-                    break
-                words = parse_qs(event.target.decode("latin-1").partition("?")[2])
-                index, wait = int(words.get("index", ["0"])[0]), float(words.get("wait", ["0"])[0])
-                door = words.get("door", [""])[0]
-                self._writers[writer] = door
-                if door in self._cut:
-                    break
-                await self._poll(connection, writer, index, wait, door)
-                while (event := connection.next_event()) is h11.NEED_DATA:
-                    connection.receive_data(await reader.read(4096))
-                connection.start_next_cycle()
-        except (OSError, ValueError, h11.ProtocolError):
-            pass
-        finally:
-            self._writers.pop(writer, None)
-            writer.close()
-
-    async def _poll(self, connection: h11.Connection, writer: asyncio.StreamWriter, index: int, wait: float,
-                    door: str) -> None:
+    async def _answer(self, connection: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                      request: h11.Request, body: int) -> bool:
+        words = parse_qs(request.target.decode("latin-1").partition("?")[2])
+        index, wait = int(words.get("index", ["0"])[0]), float(words.get("wait", ["0"])[0])
+        door = self._writers[writer] = words.get("door", [""])[0]
+        if door in self._cut:
+            return False
         until = now_ms() + wait
         while (index and index == self._index) or self._stale:
             try:
@@ -155,28 +108,22 @@
             except TimeoutError:
                 break
         if writer.transport.is_closing():
-            return  # dropped while it waited: nothing is told
+            return False  # dropped while it waited: nothing is told
         if index and self._stale:
             scope, servers, told = "changes", list[dict[str, Any]](), index
         else:
             (scope, servers), told = self._since(index), self._index
-        body = json.dumps({"index": told, "scope": scope, "now_unix_ms": time.time() * 1000,
+        text = json.dumps({"index": told, "scope": scope, "now_unix_ms": time.time() * 1000,
                            "servers": servers}).encode()
-        head = h11.Response(status_code=200, headers=[("content-type", "application/json"),
-                                                      ("x-index", str(told)), ("content-length", str(len(body)))])
-        writer.write((connection.send(head) or b"") + (connection.send(h11.Data(data=body)) or b"")
-                     + (connection.send(h11.EndOfMessage()) or b""))
+        headers = [("content-type", "application/json"), ("x-index", str(told))]
+        writer.write(b"".join(response(connection, 200, headers, text)))
         if servers or scope == "full":
             self._trace.write("told", door=door, index=told, scope=scope, servers=[
                 {"id": s["id"], "state": s["state"], "started": s.get("started_unix_ms", 0.0)} for s in servers])
         await writer.drain()
+        return True
 
 
 async def run(port: int, lag_ms: float, trace: Path | None) -> None:
     """One feed until it is stopped."""
-    seen = Trace(trace)
-    server = FeedServer(seen, port, lag_ms)
-    control = ControlPort(server.control)
-    bound = await server.start()
-    await until_stopped({"port": bound, "control": await control.start()}, server.stop)
-    seen.close()
+    await FeedServer(Trace(trace), port, lag_ms).run()
--- a/martenstep/standins/photo.py
+++ b/martenstep/standins/photo.py
@@ -16,9 +16,8 @@
 import h11
 import msgspec
 
-from martenstep.standins.base import ControlPort, Trace, now_ms, reset, until_stopped
+from martenstep.standins.base import HttpStandIn, Trace, now_ms, reset, response
 
-READ_BYTES = 65536
 KEYS_MOST = 100_000  # remembered for repeats
 
 
@@ -119,11 +118,12 @@
         return self._sum > c.fall_multiple * self.capacity(age_ms) * c.cores * c.fall_window_ms
 
 
-class PhotoServer:
+class PhotoServer(HttpStandIn):
     """One server on a socket."""
 
     def __init__(self, config: PhotoConfig, trace: Trace) -> None:
-        self.config, self._trace = config, trace
+        super().__init__(trace, config.port)
+        self.config = config
         self._rng = random.Random(config.seed)
         self._cores = Cores(config.cores, config.queue)
         self._fall = Fall(config)
@@ -133,30 +133,18 @@
         self._shares = {"errors": 0.0, "resets": 0.0, "cuts": 0.0, "lost": 0.0}
         self._class_fails = ""
         self._keys: dict[str, float] = {}
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._server: asyncio.Server | None = None
-        self._port = config.port
 
     async def start(self) -> int:
-        """Bind; gives the port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port, backlog=512)
-        self._port = int(self._server.sockets[0].getsockname()[1])
-        return self._port
-
-    async def stop(self) -> None:
-        """Accept no more."""
-        if self._server is not None:
-            self._server.close()
-
-    def control(self, do: str, words: dict[str, Any]) -> dict[str, Any]:
-        """What can be steered while it runs."""
-        self._trace.write("control", do=do, **words)
+        """Bind, and write that it has started; gives the port."""
+        port = await super().start()
+        self._trace.write("started", server=self.config.id, port=port, cold=self.config.cold)
+        return port
+
+    def _steered(self, do: str, words: dict[str, Any]) -> dict[str, Any] | None:
         if do == "silent":
             self._silent = bool(words["on"])
         elif do == "slow":
             self._factor = float(words["factor"])
-        elif do in self._shares:
-            self._shares[do] = float(words["share"])
         elif do == "class_fails":
             self._class_fails = str(words["class"])
         elif do == "drain":
@@ -166,59 +154,18 @@
             self._fallen = self._silent = self._draining = False
             self._keys.clear()
             self._fall = Fall(self.config)
-            for writer in list(self._writers):
-                writer.transport.abort()
+            self._drop()
         elif do == "state":
             return {"fallen": self._fallen, "waiting": self._cores.waiting, "connections": len(self._writers)}
         else:
-            return {"error": f"no such command: {do}"}
-        return {"ok": True}
+            return super()._steered(do, words)
+        return None
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self._writers) >= self.config.connections or self._fallen:
-            writer.transport.abort()
-            return
-        self._writers.add(writer)
-        connection = h11.Connection(h11.SERVER)
-        try:
-            while True:
-                request, body = await self._request(connection, reader, writer)
-                if request is None:
-                    break
-                if not await self._answer(connection, reader, writer, request, body):
-                    break
-                if connection.our_state is h11.MUST_CLOSE:
-                    break
-                connection.start_next_cycle()
-        except (OSError, h11.ProtocolError):
-            pass
-        finally:
-            self._writers.discard(writer)
-            writer.close()
-
-    @staticmethod
-    async def _request(connection: h11.Connection, reader: asyncio.StreamReader,
-                       writer: asyncio.StreamWriter) -> tuple[h11.Request | None, int]:
-        request: h11.Request | None = None
-        size = 0
-        while True:
-            event = connection.next_event()
-            if event is h11.NEED_DATA:
-                if connection.they_are_waiting_for_100_continue:
-                    writer.write(connection.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
-                connection.receive_data(await reader.read(READ_BYTES))
-            elif isinstance(event, h11.Request):
-                request = event
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return request, size
-            else:
-                return None, 0
+    def _takes(self) -> bool:
+        return super()._takes() and not self._fallen and len(self._writers) < self.config.connections
 
     async def _answer(self, connection: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
                       request: h11.Request, body: int) -> bool:
-        """Work on one request; False where the connection ends with it."""
         headers = dict(request.headers)
         cls = request.target.decode("latin-1").split("/")[1] if b"/" in request.target else ""
         told = {
@@ -239,8 +186,7 @@
         if self._fall.offer(now, ms / self.config.speed, now - self._started):
             self._fallen = True
             self._trace.write("fell", server=self.config.id)
-            for other in list(self._writers):
-                other.transport.abort()
+            self._drop()
             return False
         gone = asyncio.ensure_future(reader.read(1))
         working = asyncio.ensure_future(self._work(told, cls, key, work, ms))
@@ -305,22 +251,14 @@
             status, body = 500, b"broken\n"
         elif how == "repeat":
             headers.append(("x-repeat", "1"))
-        headers.append(("content-length", str(len(body))))
-        out = connection.send(h11.Response(status_code=status, headers=headers)) or b""
-        whole = (connection.send(h11.Data(data=body)) or b"") + (connection.send(h11.EndOfMessage()) or b"")
+        head, rest = response(connection, status, headers, body)
         if how == "cut":
-            writer.write(out + whole[: len(whole) // 2])
+            writer.write(head + rest[: len(rest) // 2])
             return False
-        writer.write(out + whole)
+        writer.write(head + rest)
         return True
 
 
 async def run(config: PhotoConfig, trace: Path | None) -> None:
     """One server until it is stopped."""
-    seen = Trace(trace)
-    server = PhotoServer(config, seen)
-    control = ControlPort(server.control)
-    port = await server.start()
-    seen.write("started", server=config.id, port=port, cold=config.cold)
-    await until_stopped({"port": port, "control": await control.start()}, server.stop)
-    seen.close()
+    await PhotoServer(config, Trace(trace)).run()
--- a/martenstep/standins/redis.py
+++ b/martenstep/standins/redis.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from martenstep.standins.base import ControlPort, Trace, now_ms, until_stopped
+from martenstep.standins.base import READ_BYTES, StandIn, Trace, now_ms
 from martenstep.standins.resp import Commands, ErrorReply, Reply, RespError, Simple, encode
 
 OK = Simple("OK")
@@ -276,42 +276,26 @@
         return OK
 
 
-class RedisServer:
+class RedisServer(StandIn):
     """The keyspace on a socket."""
 
     def __init__(self, trace: Trace, port: int = 0) -> None:
+        super().__init__(trace, port)
         self.keyspace = Keyspace()
         self.keyspace.told = self._added
-        self._trace, self._port = trace, port
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
         self._paused_until = 0.0
         self._slow_ms = 0.0
-        self._down = False
         self._sessions = 0
 
-    async def start(self) -> int:
-        """Bind; gives the port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port, backlog=512)
-        self._port = int(self._server.sockets[0].getsockname()[1])
-        return self._port
-
     async def stop(self) -> None:
         """Accept no more, drop what there is."""
-        if self._server is not None:
-            self._server.close()
+        await super().stop()
         self._drop()
 
     def _added(self, key: bytes, amount: bytes, total: bytes) -> None:
         self._trace.write("add", key=key.decode("latin-1"), amount=float(amount), total=float(total))
 
-    def _drop(self) -> None:
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    def control(self, do: str, words: dict[str, Any]) -> dict[str, Any]:
-        """What can be steered while it runs."""
-        self._trace.write("control", do=do, **words)
+    def _steered(self, do: str, words: dict[str, Any]) -> dict[str, Any] | None:
         if do == "pause":
             self._paused_until = now_ms() + float(words["ms"])
         elif do == "slow":
@@ -324,25 +308,17 @@
             self.keyspace.empty()
             self.keyspace.run_id = secrets.token_hex(20)
             self._drop()
-        elif do == "down":
-            self._down = bool(words["on"])
-            if self._down:
-                self._drop()
         elif do == "state":
             return {"commands": self.keyspace.commands, "connections": len(self._writers)}
         else:
-            return {"error": f"no such command: {do}"}
-        return {"ok": True}
+            return super()._steered(do, words)
+        return None
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self._down:
-            writer.transport.abort()
-            return
         self._sessions += 1
         session, commands = Session(self._sessions), Commands()
-        self._writers.add(writer)
         try:
-            while data := await reader.read(65536):
+            while data := await reader.read(READ_BYTES):
                 found = commands.feed(data)
                 while (pause := self._paused_until - now_ms()) > 0:
                     await asyncio.sleep(pause / 1000)
@@ -355,18 +331,8 @@
                     break
         except RespError as error:
             writer.write(encode(ErrorReply(f"ERR {error}"), session.protocol))
-        except OSError:
-            pass
-        finally:
-            self._writers.discard(writer)
-            writer.close()
 
 
 async def run(port: int, trace: Path | None) -> None:
     """One Redis until it is stopped."""
-    seen = Trace(trace)
-    server = RedisServer(seen, port)
-    control = ControlPort(server.control)
-    bound = await server.start()
-    await until_stopped({"port": bound, "control": await control.start()}, server.stop)
-    seen.close()
+    await RedisServer(Trace(trace), port).run()
