A counter service whose certificate cannot be used says so in a line

`counter serve` with a file that is there but holds no certificate ended in a traceback: the one place that tells faults on the command line did not know TlsError, which the door's own start does.

Now it ends with exit code 1 and the file's name.

--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -234,13 +234,14 @@
 
 @contextlib.contextmanager
 def _log_faults() -> Iterator[None]:
-    """What can be wrong with a log is told in a line; exit 1."""
+    """What can be wrong with a log, or with what serves it, is told in a line; exit 1."""
+    from martenstep.config.tls import TlsError
     from martenstep.counter.files import LockedError
     from martenstep.counter.follow import RefusedError
     from martenstep.counter.log import LogError
     try:
         yield
-    except (LogError, LockedError, RefusedError, OSError) as error:
+    except (LogError, LockedError, RefusedError, TlsError, OSError) as error:
         click.echo(str(error), err=True)
         sys.exit(1)
 
--- a/tests/test_counter_service.py
+++ b/tests/test_counter_service.py
@@ -205,6 +205,11 @@
         file.write_text(config(tmp_path / "plain" / "log"))
         done = await asyncio.to_thread(CliRunner().invoke, cli, ["counter", "serve", str(file)])
         assert done.exit_code == 1 and "Traceback" not in done.output
+        bad = tmp_path / "no.pem"
+        bad.write_text("no certificate")
+        file.write_text(config(tmp_path / "tls", f'tls {{ certificate: "{bad}" key: "{bad}" }}'))
+        done = await asyncio.to_thread(CliRunner().invoke, cli, ["counter", "serve", str(file)])
+        assert done.exit_code == 1 and "no.pem" in done.output
         file.write_text('name: "" log { commit_ms: -1 }')
         done = await asyncio.to_thread(CliRunner().invoke, cli, ["counter", "serve", str(file)])
         assert done.exit_code == 2 and len(done.output.splitlines()) == 3
