Driver: the headers of an ending connection written in one place

The reply and the passed answer each asked whether the connection ends and added the header; now one function does both. Behaviour is as before.

--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -493,19 +493,17 @@
 
     # Answers --------------------------------------------------------------------------------------------
 
-    def _closes(self, flight: Flight) -> bool:
-        """Whether the connection must end after this answer: the daemon stops, or the body is not all read."""
-        return self.stopping or (flight.body is not None and not flight.body.complete)
+    def _ending(self, flight: Flight, headers: ev.Headers) -> ev.Headers:
+        """The headers of an answer, after which the connection ends where the daemon stops or the body is not read."""
+        ends = self.stopping or (flight.body is not None and not flight.body.complete)
+        return [*headers, (b"connection", b"close")] if ends else headers
 
     def _reply(self, action: ev.Reply) -> None:
         flight = self.flights.get(action.ticket)
         if flight is None:
             return
         self.counts["replies"] += 1
-        headers = action.headers
-        if self._closes(flight):
-            headers = [*headers, (b"connection", b"close")]
-        flight.client.answer(action.status, headers, [action.body])
+        flight.client.answer(action.status, self._ending(flight, action.headers), [action.body])
         flight.finish()
 
     def _pass(self, action: ev.Pass) -> None:
@@ -513,9 +511,7 @@
         if flight is None:
             return
         self.counts["passed"] += 1
-        headers, client = action.headers, flight.client
-        if self._closes(flight):
-            headers = [*headers, (b"connection", b"close")]
+        headers, client = self._ending(flight, action.headers), flight.client
         if action.whole:
             client.answer(action.status, headers, flight.held)
             flight.finish()
