Counter: a follower that catches up is waited for, and each old segment is read once for it

Three things were wrong in what a leader ships. It read 4 MiB at once and sent it through the same call that cuts off a slow door at `unsent_bytes`, 4 MiB as well: a follower that syncs what it takes could not keep step and was reset again and again, each time to begin anew. For each 4 MiB the whole segment was read and walked from its start. And the last record of a follower that comes back was looked up on the event loop, where all doors wait.

Now a link waits for room on its connection (asyncio's own pause_writing), is never cut off, and reads a segment once, in another thread; a follower in step finds its group at the first look instead of the last. A segment that ends before the record asked for is damage, told as such.

--- a/martenstep/counter/follow.py
+++ b/martenstep/counter/follow.py
@@ -43,7 +43,7 @@
             raise
         self._last = 0  # likeness of the last record
         if self._writer.next:
-            data, _ = read_records(self._disk, self._writer.next - 1, self._writer.next, 1)
+            data, _ = read_records(self._disk, self._writer.next - 1, self._writer.next)
             [entry] = records_of(data, self._writer.next - 1)
             self._last = likeness(self._writer.next - 1, entry)
 
--- a/martenstep/counter/log.py
+++ b/martenstep/counter/log.py
@@ -185,9 +185,9 @@
     return entries
 
 
-def read_records(files: Files, first: int, until: int, most_bytes: int) -> tuple[bytes, int]:
-    """Records as they stand in the segments, from one on and below another, of so many bytes at most (one at least);
-    and how many.  Raises LogError where the first is no longer kept."""
+def read_records(files: Files, first: int, until: int) -> tuple[bytes, int]:
+    """Records as they stand in a segment, from one on and below another, up to the segment's end, and the number
+    behind the last.  Raises LogError where the first is no longer kept."""
     found = segments(files)
     for index, segment in enumerate(found):
         after = found[index + 1].first if index + 1 < len(found) else until
@@ -198,11 +198,10 @@
         while number < min(after, until) and at + RECORD.size <= len(data):
             if number == first:
                 start = at
-            size = RECORD.size + RECORD.unpack_from(data, at)[0]
-            if number > first and at + size - start > most_bytes:
-                break
-            at, number = at + size, number + 1
-        return data[start:at], number - first
+            at, number = at + RECORD.size + RECORD.unpack_from(data, at)[0], number + 1
+        if number <= first:
+            raise LogError(segment.name, at, f"ends before record {first}")
+        return data[start:at], number
     raise LogError(segment_name(first), 0, f"record {first} is no longer kept here")
 
 
--- a/martenstep/counter/service.py
+++ b/martenstep/counter/service.py
@@ -14,6 +14,7 @@
 import sys
 import time
 from collections import defaultdict, deque
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -45,7 +46,6 @@
 from martenstep.counter.state import Limits
 
 PART_BYTES = 60_000  # of records in one frame: below the bound of a frame
-SHIP_BYTES = 4 << 20  # of old records read at once, and unsent to a follower
 SWEEP_S = 1.0  # how often half frames that hang are looked for
 
 
@@ -85,6 +85,8 @@
         self.link: Link | None = None
         self.transport: asyncio.Transport | None = None
         self.heard = time.monotonic()
+        self.room = asyncio.Event()  # what was written is on its way, or nobody is there any more
+        self.room.set()
 
     @property
     def hangs(self) -> bool:
@@ -98,10 +100,17 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self.room.set()
         self._service.connections.discard(self)
         if self.link is not None:
             self.link.stop()
 
+    def pause_writing(self) -> None:
+        self.room.clear()
+
+    def resume_writing(self) -> None:
+        self.room.set()
+
     def data_received(self, data: bytes) -> None:
         self.heard = time.monotonic()
         try:
@@ -174,7 +183,7 @@
         self.held = max(self.held, upto)
         self._service.confirm()
 
-    def _why_not(self) -> tuple[Status, str] | None:
+    async def _why_not(self) -> tuple[Status, str] | None:
         """Whether the follower's log is the beginning of this one."""
         service, follow = self._service, self._follow
         keeper = service.keeper
@@ -186,60 +195,55 @@
             return Status.BAD, f"the follower holds {follow.next} records, this log {keeper.synced}: they have parted"
         if follow.next:
             try:
-                data, count = read_records(keeper.files, follow.next - 1, follow.next, 1)
+                data, _ = await self._old(follow.next - 1, follow.next)
                 [entry] = records_of(data, follow.next - 1)
             except (LogError, ValueError) as error:
                 return Status.BAD, f"{error}: copy the directory first"
-            if count != 1 or likeness(follow.next - 1, entry) != follow.check:
+            if likeness(follow.next - 1, entry) != follow.check:
                 return Status.BAD, f"the logs part before record {follow.next}"
         return None
 
     async def _ship(self) -> None:
         service = self._service
-        fault = self._why_not()
+        fault = await self._why_not()
         if fault is not None:
             self._connection.end(*fault)
             return
         service.links.add(self)
         self.held = self._sent
-        loop = asyncio.get_running_loop()
-        while self._connection.transport is not None:
+        while True:
             news = service.news
             while self._sent < service.keeper.synced:
                 try:
-                    found = service.recent(self._sent)
-                    if found is None:
-                        found = await loop.run_in_executor(None, self._old, self._sent, service.keeper.synced)
+                    data, after = service.recent(self._sent) or await self._old(self._sent, service.keeper.synced)
                 except LogError as error:
                     self._connection.end(Status.BAD, f"{error}: copy the directory first")
                     return
-                for frame in _parts(found[0], found[1]):
-                    self._connection.send(encode(frame))
-                self._sent = found[2]
-                while (transport := self._connection.transport) and transport.get_write_buffer_size() > SHIP_BYTES:
-                    await asyncio.sleep(0.001)
-                if transport is None:
-                    return
+                for frame in _parts(self._sent, data):
+                    await self._connection.room.wait()  # it is waited for, not cut off as a door is
+                    transport = self._connection.transport
+                    if transport is None or transport.is_closing():
+                        return
+                    transport.write(encode(frame))
+                self._sent = after
             await news.wait()
 
-    def _old(self, first: int, until: int) -> tuple[int, bytes, int]:
-        """From the segments, what is no longer in memory."""
-        data, count = read_records(self._service.keeper.files, first, until, SHIP_BYTES)
-        return first, data, first + count
+    async def _old(self, first: int, until: int) -> tuple[bytes, int]:
+        """Records that may no longer be in memory, up to the end of their segment, and the number behind them."""
+        return await asyncio.get_running_loop().run_in_executor(
+            None, read_records, self._service.keeper.files, first, until)
 
 
-def _parts(first: int, data: bytes) -> list[Entries]:
+def _parts(first: int, data: bytes) -> Iterator[Entries]:
     """Records cut into frames, between records."""
-    frames, start, at, number = [], 0, 0, first
-    begin = first
+    begin, number, start, at = first, first, 0, 0
     while at < len(data):
         end = at + RECORD.size + RECORD.unpack_from(data, at)[0]
         if end - start > PART_BYTES and at > start:
-            frames.append(Entries(begin, data[start:at]))
+            yield Entries(begin, data[start:at])
             start, begin = at, number
         at, number = end, number + 1
-    frames.append(Entries(begin, data[start:]))
-    return frames
+    yield Entries(begin, data[start:])
 
 
 class Service:
@@ -290,11 +294,11 @@
             self._full.set()
         self._wake.set()
 
-    def recent(self, first: int) -> tuple[int, bytes, int] | None:
-        """Records from one on that are still in memory, where they begin with it."""
-        for told in self._recent:
-            if told[0] == first and told[2] <= self.keeper.synced:
-                return told
+    def recent(self, first: int) -> tuple[bytes, int] | None:
+        """Durable records from one on, where a group that is still in memory begins with it, and the number behind."""
+        for begin, data, after in reversed(self._recent):  # a follower in step wants the last
+            if begin <= first:
+                return (data, after) if begin == first and after <= self.keeper.synced else None
         return None
 
     def confirm(self) -> None:
--- a/tests/test_counter_follow.py
+++ b/tests/test_counter_follow.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from pathlib import Path
 
 import pytest
 
 from martenstep.counter import frames as fr
 from martenstep.counter.follow import Follower, RefusedError, promote
+from martenstep.counter.log import records_of
 from martenstep.counter.read import rebuilt, verify
 from martenstep.counter.state import Limits
 from martenstep.interface import Verdict
@@ -53,6 +55,27 @@
     run(test())
 
 
+def test_a_follower_that_reads_slowly_is_waited_for(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with served(tmp_path / "a", "recent_bytes: 100 unsent_bytes: 4096") as (service, port):
+            door = await Wire.to(port, fr.Hello("door", 1))
+            for first in range(1, 4001, 100):  # more than the sockets hold
+                door.send(*(fr.Record(n, time.time() * 1000, 1.0, False, f"{n:01000}", "ada", "plan", "read")
+                            for n in range(first, first + 100)))
+                assert [await door.next() for _ in range(100)] == [
+                    fr.Stored(n, fr.Status.DONE) for n in range(first, first + 100)]
+            slow = await Wire.to(port)
+            slow.send(fr.Follow(0, 0, 0))
+            await asyncio.sleep(0.3)  # it reads nothing meanwhile: what is sent stands in the sockets
+            held = 0
+            while held < service.keeper.synced:
+                frame = await slow.next()
+                assert isinstance(frame, fr.Entries) and frame.first == held
+                held += len(records_of(frame.data, held))
+            assert held > 4000
+    run(test())
+
+
 def test_a_leader_that_does_not_sync_ships_each_record_once(tmp_path: Path) -> None:
     async def test() -> None:
         async with served(tmp_path / "a") as (service, port):
