Door: the pool tells of a refused certificate, so that services for checks are told of as servers are

Only the attempts on servers noted `server refused`; a check whose service showed a wrong certificate failed without a line, and an operator saw refusals for no reason. The note stood at one caller of the pool's dial and was missing at the other: it belongs into the dial.

--- a/martenstep/door/checks.py
+++ b/martenstep/door/checks.py
@@ -24,6 +24,9 @@
     def act(self, event: ev.Event) -> None:
         """Tell the engine."""
 
+    def refused(self, address: str, reason: str) -> None:
+        """TLS refused a service."""
+
 
 class _Flying:
     """One attempt of a check."""
@@ -43,7 +46,7 @@
     def __init__(self, host: Host, settings: pb.Auth) -> None:
         self._host, self._bound = host, settings.body_bytes
         self.tls = [ClientContext(settings.tls)] if settings.HasField("tls") else []
-        self.pool = Pool(settings.per_service + 1, IDLE_MS, self.tls[0].context if self.tls else None,
+        self.pool = Pool(settings.per_service + 1, IDLE_MS, host.refused, self.tls[0].context if self.tls else None,
                          settings.tls.server_name)
         self._flying: dict[int, _Flying] = {}
 
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import asyncio
-import ssl
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
@@ -327,7 +326,7 @@
         self.loop = asyncio.get_running_loop()
         self.tls = ServerContext(self.listener.tls) if self.listener.HasField("tls") else None
         self.client_tls = [ClientContext(self.upstream.tls)] if self.upstream.HasField("tls") else []
-        self.pool = Pool(self.upstream.connections, self.upstream.idle_ms,
+        self.pool = Pool(self.upstream.connections, self.upstream.idle_ms, self.refused,
                          self.client_tls[0].context if self.client_tls else None, self.upstream.tls.server_name)
         self.flights: dict[int, Flight] = {}
         self.clients: set[Client] = set()
@@ -498,6 +497,10 @@
         ends = self.stopping or (flight.body is not None and not flight.body.complete)
         return [*headers, (b"connection", b"close")] if ends else headers
 
+    def refused(self, address: str, reason: str) -> None:
+        """A server or an authentication service is not the one that TLS must show."""
+        self._note("server refused", {"address": address, "reason": reason})
+
     def _reply(self, action: ev.Reply) -> None:
         flight = self.flights.get(action.ticket)
         if flight is None:
@@ -573,10 +576,7 @@
         """Make a connection for an attempt.  Cancelled when it is given up."""
         try:
             upstream = await self.pool.dial(action.address)
-        except OSError as error:
-            if isinstance(error, ssl.SSLError):
-                self._note("server refused", {"address": f"{action.address[0]}:{action.address[1]}",
-                                              "reason": getattr(error, "verify_message", "") or str(error.reason)})
+        except OSError:
             if flight.task is asyncio.current_task():
                 flight.task = None
                 self.act(ev.AttemptEnded(flight.ticket, action.attempt, Ending.NOT_CONNECTED))
--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -157,8 +157,9 @@
 class Pool:
     """The connections to all servers: idle ones by address, and how many there are in all."""
 
-    def __init__(self, bound: int, idle_ms: float, tls: ssl.SSLContext | None = None, server_name: str = "") -> None:
-        self._bound, self._idle_ms = bound, idle_ms
+    def __init__(self, bound: int, idle_ms: float, refused: Refused, tls: ssl.SSLContext | None = None,
+                 server_name: str = "") -> None:
+        self._bound, self._idle_ms, self._refused = bound, idle_ms, refused
         self._tls, self._server_name = tls, server_name
         self._idle: dict[tuple[str, int], list[Upstream]] = {}
         self._count: dict[tuple[str, int], int] = {}
@@ -197,16 +198,18 @@
             self._idle.pop(address, None)
 
     async def dial(self, address: tuple[str, int]) -> Upstream:
-        """Make a connection in a place that is reserved; raises OSError, an ssl.SSLError where TLS refuses it.  Where
-        none is made, the place is given back."""
+        """Make a connection in a place that is reserved; raises OSError.  Where none is made, the place is given
+        back; where TLS refuses the other side, that is told."""
         loop = asyncio.get_running_loop()
         reader = WatchedReader()
         try:
             transport, protocol = await loop.create_connection(
                 lambda: WatchedProtocol(reader), *address, ssl=self._tls,
                 server_hostname=(self._server_name or None) if self._tls else None)
-        except (OSError, asyncio.CancelledError):
+        except (OSError, asyncio.CancelledError) as error:
             self.release(address)
+            if isinstance(error, ssl.SSLError):
+                self._refused(f"{address[0]}:{address[1]}", getattr(error, "verify_message", "") or str(error.reason))
             raise
         protocol.secure = self._tls is not None
         self.opened += 1
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -7,6 +7,7 @@
 import datetime
 import ipaddress
 import ssl
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -163,6 +164,32 @@
     run(test())
 
 
+def test_an_authentication_service_whose_certificate_is_not_good_is_told_of(tmp_path: Path) -> None:
+    async def test() -> None:
+        issuer = Issuer(tmp_path)
+        files = issuer.issue("w", "example.org")
+        heads: list[str] = []
+
+        async def serves(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                heads.append(await Peer(reader, writer).head())
+            writer.close()
+
+        context = ServerContext(pb.ServerTls(certificate=files[0], key=files[1])).context
+        service = await asyncio.start_server(serves, "127.0.0.1", 0, ssl=context)
+        port = service.sockets[0].getsockname()[1]
+        text = (f'auth {{ service {{ port: {port} }} attempts: 1 attempt_ms: 3000 tls {{ ca: "{issuer.file}" }} }} '
+                'default_plan: "open" '
+                'route { name: "safe" path_prefix: "/safe/" class: "read" authenticate: true }')
+        async with house(good, text=text) as door:
+            status, _, _ = await door.ask("/safe/1", "authorization: anna\r\n")
+            assert status == 503 and not heads
+            [told] = [fields for event, fields in door.notes if event == "server refused"]
+            assert told["address"] == f"127.0.0.1:{port}" and "IP address mismatch" in told["reason"]
+        service.close()
+    run(test())
+
+
 def test_a_certificate_is_changed_in_service_and_no_connection_is_dropped(tmp_path: Path) -> None:
     async def test() -> None:
         issuer = Issuer(tmp_path)
