Settings: the counter's timeout is held to the shortest deadline as the store's is; two refusals that wait for ever

`store.timeout_ms` had to be below the shortest deadline, its twin `counter.timeout_ms` not: one check now serves both. And `wait_for_follower` with a log that is not durable answered nothing until a segment ended, as a follower is sent only what is durable: settings that say both are refused with file, line and field.

--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -197,12 +197,8 @@
     if door.HasField("store"):
         node = root.at("store")
         check.port(door.store, node, any_free=False)
-        check.above_zero(door.store, node, "timeout_ms")
         for name in ("connections", "waiting"):
             check.number(door.store, node, name, 1)
-        shortest = min((entry.deadline_ms for entry in getattr(door, "class") if entry.deadline_ms), default=math.inf)
-        if door.store.timeout_ms >= shortest:
-            check.fault(node.at("timeout_ms"), f"expected below the shortest deadline of {shortest:g}")
     if door.HasField("counter"):
         node = root.at("counter")
         if door.counter.service:
@@ -215,12 +211,18 @@
             check.unique(node.all("service"), door.counter.service, "name")
         else:
             check.port(door.counter, node, any_free=False)
-        check.above_zero(door.counter, node, "timeout_ms")
         check.needed(door.counter, node, "journal")
         for name in ("waiting", "journal_tries"):
             check.number(door.counter, node, name, 1)
         if door.HasField("store"):
             check.fault(node, "given beside store; only one of them may be")
+    shortest = min((entry.deadline_ms for entry in getattr(door, "class") if entry.deadline_ms), default=math.inf)
+    for name in ("store", "counter"):
+        if door.HasField(name):
+            part, node = getattr(door, name), root.at(name)
+            check.above_zero(part, node, "timeout_ms")
+            if part.timeout_ms >= shortest:
+                check.fault(node.at("timeout_ms"), f"expected below the shortest deadline of {shortest:g}")
     if door.HasField("tracing"):
         check.needed(door.tracing, root.at("tracing"), "file")
         check.number(door.tracing, root.at("tracing"), "share", 0, 1)
--- a/martenstep/counter/settings.py
+++ b/martenstep/counter/settings.py
@@ -20,6 +20,8 @@
     check.above_zero(service, root, "try_window_ms", "period_ms", "idle_ms")
     check.number(service, root, "unsent_bytes", 4096)
     check_server_tls(check, service.tls if service.HasField("tls") else None, root.at("tls"))
+    if service.wait_for_follower and not service.log.durable:  # followers hold what is durable
+        check.fault(root.at("wait_for_follower"), "fits only a log that is durable")
     node = root.at("log")
     check.needed(service.log, node, "directory")
     check.number(service.log, node, "segment_bytes", LEAST_SEGMENT)
--- a/tests/test_counter_follow.py
+++ b/tests/test_counter_follow.py
@@ -8,10 +8,12 @@
 
 import pytest
 
+from martenstep.config.text import Faults
 from martenstep.counter import frames as fr
 from martenstep.counter.follow import Follower, RefusedError, promote
 from martenstep.counter.log import records_of
 from martenstep.counter.read import rebuilt, verify
+from martenstep.counter.settings import parse_service
 from martenstep.counter.state import Limits
 from martenstep.interface import Verdict
 from tests.socket_rig import run
@@ -76,6 +78,14 @@
     run(test())
 
 
+def test_a_follower_is_not_waited_for_by_a_log_that_is_not_durable(tmp_path: Path) -> None:
+    text = f'name: "c" wait_for_follower: true log {{ directory: "{tmp_path}" durable: false }}'
+    with pytest.raises(Faults) as caught:
+        parse_service(text, "c")
+    assert [fault.told("c") for fault in caught.value.faults] == [
+        "c:1:11: wait_for_follower: fits only a log that is durable"]
+
+
 def test_a_leader_that_does_not_sync_ships_each_record_once(tmp_path: Path) -> None:
     async def test() -> None:
         async with served(tmp_path / "a") as (service, port):
--- a/tests/test_counter_shards.py
+++ b/tests/test_counter_shards.py
@@ -88,6 +88,7 @@
     good = 'service { name: "a" port: 1 } service { name: "b" port: 2 }'
     assert len(parse_door(base.replace("SERVICES", good), "d").counter.service) == 2
     for bad, told in ((good.replace('"b"', '"a"'), "is taken by"), (good + " port: 5", "given beside service"),
-                      ('service { name: "a" }', "missing, expected a port"), ("", "missing, expected a port")):
+                      ('service { name: "a" }', "missing, expected a port"), ("", "missing, expected a port"),
+                      ("port: 1 timeout_ms: 4000", "counter.timeout_ms: expected below the shortest deadline of 4000")):
         with pytest.raises(Faults, match=told):
             parse_door(base.replace("SERVICES", bad), "d")
