One backoff for feed, counter and follower, which begins anew once an attempt came through

Two of three loops never came back from the longest wait: the feed asked a flag that it had just set, and the counter's client reset its wait only when a connection ended cleanly, which a lost one never does. After the first loss every later one cost the longest wait. Now one class (martenstep/backoff.py) doubles, draws by chance and begins anew at the first answer that came through.

--- a/martenstep/counter/client.py
+++ b/martenstep/counter/client.py
@@ -24,6 +24,7 @@
 
 import msgspec
 
+from martenstep.backoff import Backoff
 from martenstep.counter.frames import (
     Add,
     Command,
@@ -145,6 +146,7 @@
         self._host, self._port, self._door = host, port, door
         self._journal, self._answer, self._note = journal, answer, note
         self._timeout, self._bound, self._map_version = timeout_ms / 1000, waiting, map_version
+        self.backoff = Backoff(AGAIN_LEAST_MS, AGAIN_MOST_MS)
         self._sequence = 0
         self._out: OrderedDict[int, Command] = OrderedDict()  # unanswered, in order of sequence
         self._calls: dict[int, int] = {}  # adds: the module's call by sequence, until its time-out
@@ -224,11 +226,9 @@
             self._writer.write(encode(command))
 
     async def _run(self) -> None:
-        pause = AGAIN_LEAST_MS
         while True:
             try:
                 await self._connection()
-                pause = AGAIN_LEAST_MS
             except (OSError, FrameError, asyncio.IncompleteReadError) as error:
                 self._note("counter lost", {"error": f"{type(error).__name__}: {error}"})
             finally:
@@ -236,8 +236,7 @@
                 if self._writer is not None:
                     self._writer.close()
                     self._writer = None
-            await asyncio.sleep(pause / 1000)
-            pause = min(pause * 2, AGAIN_MOST_MS)
+            await asyncio.sleep(self.backoff.failed() / 1000)
 
     async def _connection(self) -> None:
         reader, writer = await asyncio.open_connection(
@@ -251,6 +250,7 @@
                 if isinstance(reply, Welcome):
                     self._journal.saw_term(reply.term)
                     self._ready = True
+                    self.backoff.succeeded()
                     self.sent_again += len(self._written)
                     self._written.update(self._out)
                     writer.write(b"".join(encode(command) for command in self._out.values()))
--- a/martenstep/counter/follow.py
+++ b/martenstep/counter/follow.py
@@ -15,6 +15,7 @@
 import sys
 from pathlib import Path
 
+from martenstep.backoff import Backoff
 from martenstep.counter.files import Disk
 from martenstep.counter.frames import Ack, Entries, Follow, FrameError, Frames, Refused, Status, decode, encode
 from martenstep.counter.keeper import Keeper, rebuild
@@ -90,15 +91,16 @@
 
     async def run(self, host: str, port: int) -> None:
         """Follow for good, through the leader's restarts; raises RefusedError."""
-        pause = AGAIN_LEAST_MS
+        backoff = Backoff(AGAIN_LEAST_MS, AGAIN_MOST_MS)
         while True:
             held = self.records
             try:
                 await self.follow(host, port)
             except (OSError, FrameError) as error:
                 sys.stderr.write(json.dumps({"event": "leader lost", "error": str(error), "records": held}) + "\n")
-            pause = AGAIN_LEAST_MS if self.records > held else min(pause * 2, AGAIN_MOST_MS)
-            await asyncio.sleep(pause / 1000)
+            if self.records > held:
+                backoff.succeeded()
+            await asyncio.sleep(backoff.failed() / 1000)
 
 
 def promote(directory: Path) -> int:
--- a/martenstep/members/feed.py
+++ b/martenstep/members/feed.py
@@ -15,7 +15,6 @@
 import asyncio
 import contextlib
 import os
-import random
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -24,11 +23,12 @@
 import h11
 import msgspec
 
+from martenstep.backoff import Backoff
 from martenstep.config import door_pb2 as pb
 from martenstep.interface import Scope, Server, State
 from martenstep.members.lists import Listed
 
-AGAIN_LEAST_MS, AGAIN_MOST_MS = 100.0, 2000.0  # between polls that fail: doubled each time, drawn by chance
+AGAIN_LEAST_MS, AGAIN_MOST_MS = 100.0, 2000.0  # between polls that fail
 LATE_MS = 5000.0  # a poll that is not answered so long after its wait has failed
 ANSWER_BYTES = 16 << 20  # of one answer at most
 
@@ -138,7 +138,7 @@
         self._members, self._door, self._tell, self._note, self._clock = members, door, tell, note, clock
         self._follower = Follower()
         self._path = Path(members.warm_copy) if members.warm_copy else None
-        self._rng = random.Random(os.urandom(8))
+        self.backoff = Backoff(AGAIN_LEAST_MS, AGAIN_MOST_MS)
         self._listening = asyncio.Event()
         self._lost = False
 
@@ -161,7 +161,6 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         await self._listening.wait()
-        pause = AGAIN_LEAST_MS
         while True:
             try:
                 await self._follow()
@@ -170,8 +169,7 @@
                     self._lost = True
                     self._note("feed lost", f"{type(error).__name__}: {error}")
                     self._tell(Listed(Scope.LOST))
-                await asyncio.sleep(pause / 1000 * (0.5 + self._rng.random()))
-                pause = min(pause * 2, AGAIN_MOST_MS) if self._lost else AGAIN_LEAST_MS
+                await asyncio.sleep(self.backoff.failed() / 1000)
 
     async def _follow(self) -> None:
         """Poll over one connection until it breaks."""
@@ -188,6 +186,7 @@
                 async with asyncio.timeout((wait + LATE_MS) / 1000):
                     body = await self._answer(reader, connection)
                 listed, odd = self._follower.take(body, self._clock())
+                self.backoff.succeeded()
                 for text in odd:
                     self._note("feed", text)
                 if self._lost:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -13,7 +13,7 @@
 
 from martenstep.config import door_pb2 as pb
 from martenstep.interface import Scope, State
-from martenstep.members.feed import Feed, FeedError, Follower
+from martenstep.members.feed import AGAIN_LEAST_MS, Feed, FeedError, Follower
 from martenstep.members.lists import Listed
 from martenstep.standins.base import Trace
 from martenstep.standins.feed import FeedServer
@@ -102,6 +102,7 @@
     def __init__(self) -> None:
         self.lists: list[Listed] = []
         self.notes: list[str] = []
+        self.feed: Feed | None = None
 
     async def until(self, scope: Scope, count: int = 1) -> Listed:
         while True:
@@ -118,6 +119,7 @@
     server.control("update", {"now": True, "servers": [entry(1), entry(2)]})
     members = pb.MembersFeed(port=port, wait_ms=wait_ms, warm_copy=str(tmp / "warm.json") if tmp else "")
     feed = Feed(members, "door-0", told.lists.append, lambda what, text: told.notes.append(what), lambda: 5000.0)
+    told.feed = feed
     feed.warm()
     feed.listen()
     task = asyncio.create_task(feed.run())
@@ -151,9 +153,11 @@
             server.control("update", {"now": True, "servers": [entry(9)]})
             await asyncio.sleep(0.3)  # several polls fail
             assert sum(listed.scope is Scope.LOST for listed in told.lists) == 1
+            assert told.feed is not None and told.feed.backoff.next_ms > AGAIN_LEAST_MS
             server.control("down", {"on": False})
             assert [s.id for s in (await told.until(Scope.CHANGES)).servers] == [9]
             assert told.notes == ["feed lost", "feed back"]
+            assert told.feed.backoff.next_ms == AGAIN_LEAST_MS  # the next loss is as short as the first
     run(test())
 
 
