Redis stand-in: hashes, the door's script, users, eviction, faults; replicas with a lag, sentinels, a cluster

The stand-in becomes a package: contents (hashes, scripts by digest, ACL users, maxmemory with and without eviction, clock skew, lost expiry), one server with its faults (errors by code, writes that hang, partial replies, slow names), and a fleet: a replica behind by a lag, failover that loses the last writes, two primaries for a time, sentinels with +switch-master, hash slots with MOVED and ASK. Of scripts it runs the one that the door ships, by its digest; that script states a door's sum under a version in place of adding.

--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -112,11 +112,16 @@
 
 @standin.command("redis", epilog=_example("martenstep standin redis --port 6390"))
 @PORT
+@click.option("--kind", type=click.Choice(["alone", "sentinel", "cluster"]), default="alone", show_default=True,
+              help="One server; a primary with a replica and three sentinels; primaries with a replica each.")
+@click.option("--shards", type=click.IntRange(1, 64), default=3, show_default=True, help="Primaries of a cluster.")
+@click.option("--lag-ms", type=click.FloatRange(min=0), default=100.0, show_default=True,
+              help="Replicas are so far behind.")
 @TRACE
-def redis(port: int, trace: Path | None) -> None:
-    """A Redis, as far as a door needs one."""
-    from martenstep.standins import redis as stand_in
-    asyncio.run(stand_in.run(port, trace))
+def redis(port: int, kind: str, shards: int, lag_ms: float, trace: Path | None) -> None:
+    """A Redis, as far as a door needs one.  --port is for one server alone; others take ports that are free."""
+    from martenstep.standins.redis import fleet
+    asyncio.run(fleet.run(port, trace, kind, shards, lag_ms))
 
 
 @standin.command("feed", epilog=_example("martenstep standin feed --lag-ms 300"))
--- /dev/null
+++ b/martenstep/standins/redis/keyspace.py
@@ -0,0 +1,508 @@
+"""A Redis's contents and what each command does to them, from the public command pages: commands and a time in, replies
+out, no sockets.
+
+Of scripts it knows one alone, the one that the door ships, matched by its digest and run by its Python twin.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import secrets
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from martenstep.standins.resp import ErrorReply, Reply, Simple
+from martenstep.store import script
+
+OK = Simple("OK")
+NOT_INTEGER = ErrorReply("ERR value is not an integer or out of range")
+NOT_FLOAT = ErrorReply("ERR value is not a valid float")
+SWEEP_KEYS = 1000  # after so many commands, all that has expired is dropped
+VERSION = "7.4.0"
+KEY_BYTES, FIELD_BYTES = 64, 16  # what a key and a hash's field take besides their bytes, for maxmemory
+WRONG_TYPE = ErrorReply("WRONGTYPE Operation against a key holding the wrong kind of value")
+NO_SCRIPT = ErrorReply("NOSCRIPT No matching script. Please use EVAL.")
+OOM = ErrorReply("OOM command not allowed when used memory > 'maxmemory'.")
+READ_ONLY = ErrorReply("READONLY You can't write against a read only replica.")
+WRITES = {b"SET", b"DEL", b"INCRBYFLOAT", b"INCRBY", b"PEXPIRE", b"HSET", b"HINCRBYFLOAT", b"EVAL", b"EVALSHA",
+          b"FLUSHALL"}
+GROWS = WRITES - {b"DEL", b"PEXPIRE", b"FLUSHALL"}  # what a full store turns down
+FIRST_KEY = {name: 1 for name in (b"GET", b"SET", b"DEL", b"PTTL", b"TTL", b"EXISTS", b"INCRBYFLOAT", b"INCRBY",
+                                  b"PEXPIRE", b"HGET", b"HSET", b"HINCRBYFLOAT", b"HGETALL", b"TYPE")}
+FIRST_KEY |= {b"EVAL": 3, b"EVALSHA": 3}
+NO_AUTH = (b"HELLO", b"AUTH", b"QUIT")
+
+Value = bytes | dict[bytes, bytes]
+
+
+def key_of(words: list[bytes]) -> bytes | None:
+    """The key that a command is about; None for one without."""
+    at = FIRST_KEY.get(words[0].upper())
+    if at is None or len(words) <= at or (at == 3 and words[2] != b"1"):
+        return None
+    return words[at]
+
+
+def size_of(key: bytes, value: Value) -> int:
+    """About the bytes that a key takes."""
+    if isinstance(value, bytes):
+        return KEY_BYTES + len(key) + len(value)
+    return KEY_BYTES + len(key) + sum(FIELD_BYTES + len(name) + len(held) for name, held in value.items())
+
+
+@dataclass
+class User:
+    """Who may connect, and which commands they may give; none named: all."""
+
+    password: str
+    commands: frozenset[bytes] = field(default_factory=frozenset)
+
+
+class Session:
+    """What the server keeps of one connection."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.protocol = 2
+        self.name = b""
+        self.database = 0
+        self.queued: list[list[bytes]] | None = None  # inside MULTI
+        self.spoilt = False  # a queued command was wrong: EXEC will not run
+        self.user: User | None = None
+        self.asking = False  # the next command may go to a slot that is being brought here
+        self.channels: set[bytes] = set()
+
+
+class Keyspace:
+    """The contents, and what each command does to them."""
+
+    def __init__(self) -> None:
+        self.run_id = secrets.token_hex(20)
+        self._databases: dict[int, dict[bytes, tuple[Value, float]]] = {}  # value, and when it expires
+        self.users: dict[str, User] = {}  # none: nobody need say who they are
+        self.replica = False
+        self.offset = 0  # changes so far
+        self.changed: Callable[[int, bytes, Value | None, float], None] | None = None  # for replicas
+        self.scripts: set[str] = set()
+        self.skew_ms = 0.0  # of the clock that things expire by
+        self.max_bytes = 0  # none: no bound
+        self.evicts = False  # at the bound, the key that was used longest ago goes; else writes are turned down
+        self.evicted = 0
+        self._bytes = 0
+        self._since_sweep = 0
+        self.commands = 0
+        self.told: Callable[[bytes, bytes, bytes], None] | None = None  # each add: key, amount, total
+        self._table: dict[bytes, tuple[int, Callable[[Session, float, list[bytes]], Reply]]] = {
+            b"PING": (-1, self._ping), b"ECHO": (2, lambda s, n, a: a[1]), b"GET": (2, self._get),
+            b"SET": (-3, self._set), b"DEL": (-2, self._del), b"PTTL": (2, self._pttl), b"TTL": (2, self._ttl),
+            b"EXISTS": (-2, self._exists), b"INFO": (-1, self._info), b"CLIENT": (-2, self._client),
+            b"HELLO": (-1, self._hello), b"SELECT": (2, self._select), b"DBSIZE": (1, self._dbsize),
+            b"FLUSHALL": (-1, self._flushall), b"INCRBYFLOAT": (3, self._incrbyfloat),
+            b"INCRBY": (3, self._incrby), b"PEXPIRE": (-3, self._pexpire), b"COMMAND": (-1, lambda s, n, a: []),
+            b"QUIT": (-1, lambda s, n, a: OK), b"TYPE": (2, self._type), b"AUTH": (-2, self._auth),
+            b"HGET": (3, self._hget), b"HSET": (-4, self._hset), b"HGETALL": (2, self._hgetall),
+            b"HINCRBYFLOAT": (4, self._hincrbyfloat), b"EVALSHA": (-3, self._evalsha), b"EVAL": (-3, self._eval),
+            b"SCRIPT": (-2, self._script), b"ROLE": (1, self._role), b"ASKING": (1, self._asking),
+        }
+
+    def run(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        """Run one command of a connection, MULTI and EXEC included."""
+        self.commands += 1
+        now += self.skew_ms
+        self._since_sweep += 1
+        if self._since_sweep >= SWEEP_KEYS:
+            self._sweep(now)
+        name = words[0].upper()
+        if self.users and session.user is None and name not in NO_AUTH:
+            return ErrorReply("NOAUTH Authentication required.")
+        if session.user is not None and session.user.commands and name not in session.user.commands:
+            return ErrorReply(f"NOPERM User has no permissions to run the '{name.decode().lower()}' command")
+        if name == b"MULTI":
+            if session.queued is not None:
+                return ErrorReply("ERR MULTI calls can not be nested")
+            session.queued, session.spoilt = [], False
+            return OK
+        if name == b"DISCARD":
+            if session.queued is None:
+                return ErrorReply("ERR DISCARD without MULTI")
+            session.queued = None
+            return OK
+        if name == b"EXEC":
+            if session.queued is None:
+                return ErrorReply("ERR EXEC without MULTI")
+            queued, session.queued = session.queued, None
+            if session.spoilt:
+                return ErrorReply("EXECABORT Transaction discarded because of previous errors.")
+            return [self._call(session, now, command) for command in queued]
+        wrong = self._wrong(name, words)
+        if session.queued is not None:
+            if wrong is not None:
+                session.spoilt = True
+                return wrong
+            session.queued.append(words)
+            return Simple("QUEUED")
+        return wrong if wrong is not None else self._call(session, now, words)
+
+    def empty(self) -> None:
+        """Lose all contents, as a restart without a dump does."""
+        self._databases.clear()
+        self._bytes = 0
+
+    def contents(self) -> Iterable[tuple[int, bytes, Value, float]]:
+        """Database, key, value and expiry of all there is."""
+        return [(number, key, value if isinstance(value, bytes) else dict(value), expires)
+                for number, data in self._databases.items() for key, (value, expires) in data.items()]
+
+    def take(self, database: int, key: bytes, value: Value | None, expires: float) -> None:
+        """One change as the primary made it."""
+        self.offset += 1
+        data = self._databases.setdefault(database, {})
+        before = data.pop(key, None)
+        self._bytes -= size_of(key, before[0]) if before is not None else 0
+        if value is not None:
+            self._bytes += size_of(key, value)
+            data[key] = value, expires
+
+    def lose_expiry(self) -> None:
+        """All that is there now stays for good."""
+        for data in self._databases.values():
+            for key, (value, _) in data.items():
+                data[key] = value, math.inf
+
+    def _put(self, session: Session, key: bytes, value: Value, expires: float) -> None:
+        data = self._data(session)
+        before = data.pop(key, None)  # and so to the end: the first is the one that was used longest ago
+        self._bytes += size_of(key, value) - (size_of(key, before[0]) if before is not None else 0)
+        data[key] = value, expires
+        self.offset += 1
+        if self.changed is not None:
+            self.changed(session.database, key, value, expires)
+
+    def _remove(self, session: Session, key: bytes) -> None:
+        value, _ = self._data(session).pop(key)
+        self._bytes -= size_of(key, value)
+        self.offset += 1
+        if self.changed is not None:
+            self.changed(session.database, key, None, 0.0)
+
+    def _full(self, session: Session) -> bool:
+        """Whether a command that grows must be turned down; makes room first where that is wanted."""
+        data = self._data(session)
+        if self.max_bytes and self.evicts:
+            while self._bytes > self.max_bytes and data:
+                self._remove(session, next(iter(data)))
+                self.evicted += 1
+        return 0 < self.max_bytes < self._bytes
+
+    def _wrong(self, name: bytes, words: list[bytes]) -> ErrorReply | None:
+        known = self._table.get(name)
+        if known is None:
+            return ErrorReply(f"ERR unknown command '{words[0].decode('latin-1')}'")
+        count = known[0]
+        if (count > 0 and len(words) != count) or len(words) < abs(count):
+            return ErrorReply(f"ERR wrong number of arguments for '{name.decode().lower()}' command")
+        return None
+
+    def _call(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        name = words[0].upper()
+        if self.replica and name in WRITES:
+            return READ_ONLY
+        if name in GROWS and self._full(session):
+            return OOM
+        return self._table[name][1](session, now, words)
+
+    def _data(self, session: Session) -> dict[bytes, tuple[Value, float]]:
+        return self._databases.setdefault(session.database, {})
+
+    def _value(self, session: Session, now: float, key: bytes) -> Value | None:
+        found = self._data(session).get(key)
+        if found is None:
+            return None
+        if found[1] <= now:
+            if not self.replica:
+                self._remove(session, key)
+            return None
+        return found[0]
+
+    def _hash(self, session: Session, now: float, key: bytes) -> dict[bytes, bytes] | None:
+        """A copy of a hash, empty where there is none; None where there is something else."""
+        value = self._value(session, now, key)
+        return None if isinstance(value, bytes) else dict(value or {})
+
+    def _expires(self, session: Session, key: bytes) -> float:
+        found = self._data(session).get(key)
+        return math.inf if found is None else found[1]
+
+    def _sweep(self, now: float) -> None:
+        self._since_sweep = 0
+        for data in self._databases.values():
+            for key in [key for key, found in data.items() if found[1] <= now]:
+                self._bytes -= size_of(key, data.pop(key)[0])
+
+    def _ping(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        return words[1] if len(words) > 1 else Simple("PONG")
+
+    def _get(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        value = self._value(session, now, words[1])
+        return WRONG_TYPE if isinstance(value, dict) else value
+
+    def _type(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        value = self._value(session, now, words[1])
+        return Simple("none" if value is None else "string" if isinstance(value, bytes) else "hash")
+
+    def _set(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        expires, at, options = math.inf, 3, [word.upper() for word in words]
+        while at < len(words):
+            if options[at] in (b"PX", b"EX") and at + 1 < len(words):
+                try:
+                    span = int(words[at + 1])
+                except ValueError:
+                    return NOT_INTEGER
+                if span <= 0:
+                    return ErrorReply("ERR invalid expire time in 'set' command")
+                expires = now + span * (1 if options[at] == b"PX" else 1000)
+                at += 2
+            elif options[at] in (b"NX", b"XX"):
+                if (self._value(session, now, words[1]) is None) != (options[at] == b"NX"):
+                    return None
+                at += 1
+            else:
+                return ErrorReply("ERR syntax error")
+        self._put(session, words[1], words[2], expires)
+        return OK
+
+    def _del(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        found = [key for key in words[1:] if self._value(session, now, key) is not None]
+        for key in found:
+            self._remove(session, key)
+        return len(found)
+
+    def _exists(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        return sum(self._value(session, now, key) is not None for key in words[1:])
+
+    def _pttl(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        if self._value(session, now, words[1]) is None:
+            return -2
+        expires = self._data(session)[words[1]][1]
+        return -1 if expires == math.inf else max(round(expires - now), 0)
+
+    def _ttl(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        left = self._pttl(session, now, words)
+        return left if not isinstance(left, int) or left < 0 else round(left / 1000)
+
+    def _incrbyfloat(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        present = self._value(session, now, words[1])
+        if isinstance(present, dict):
+            return WRONG_TYPE
+        try:
+            amount, value = float(words[2]), float(present or b"0")
+        except ValueError:
+            return NOT_FLOAT
+        total = value + amount
+        if not math.isfinite(total):
+            return ErrorReply("ERR increment would produce NaN or Infinity")
+        written = f"{total:.17g}".encode()
+        self._put(session, words[1], written, self._expires(session, words[1]))
+        if self.told is not None:
+            self.told(words[1], words[2], written)
+        return written
+
+    def _incrby(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        present = self._value(session, now, words[1])
+        if isinstance(present, dict):
+            return WRONG_TYPE
+        try:
+            total = int(present or b"0") + int(words[2])
+        except ValueError:
+            return NOT_INTEGER
+        self._put(session, words[1], str(total).encode(), self._expires(session, words[1]))
+        return total
+
+    def _hget(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        fields = self._hash(session, now, words[1])
+        return WRONG_TYPE if fields is None else fields.get(words[2])
+
+    def _hgetall(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        fields = self._hash(session, now, words[1])
+        if fields is None:
+            return WRONG_TYPE
+        return {name.decode("latin-1"): value for name, value in fields.items()}
+
+    def _hset(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        if len(words) % 2:
+            return ErrorReply("ERR wrong number of arguments for 'hset' command")
+        fields = self._hash(session, now, words[1])
+        if fields is None:
+            return WRONG_TYPE
+        pairs = dict(zip(words[2::2], words[3::2], strict=True))
+        new = len(pairs.keys() - fields.keys())
+        self._put(session, words[1], fields | pairs, self._expires(session, words[1]))
+        return new
+
+    def _hincrbyfloat(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        fields = self._hash(session, now, words[1])
+        if fields is None:
+            return WRONG_TYPE
+        try:
+            total = float(fields.get(words[2], b"0")) + float(words[3])
+        except ValueError:
+            return ErrorReply("ERR hash value is not a float")
+        if not math.isfinite(total):
+            return ErrorReply("ERR increment would produce NaN or Infinity")
+        fields[words[2]] = written = b"%.17g" % total
+        self._put(session, words[1], fields, self._expires(session, words[1]))
+        if self.told is not None:
+            self.told(words[1], words[3], written)
+        return written
+
+    def _script(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        what = words[1].upper()
+        if what == b"LOAD" and len(words) == 3:
+            digest = hashlib.sha1(words[2]).hexdigest()
+            if digest != script.DIGEST:
+                return ErrorReply("ERR the stand-in runs the project's own script alone")
+            self.scripts.add(digest)
+            return digest.encode()
+        if what == b"EXISTS":
+            return [int(word.decode("latin-1").lower() in self.scripts) for word in words[2:]]
+        if what == b"FLUSH":
+            self.scripts.clear()
+            return OK
+        return ErrorReply("ERR unknown subcommand or wrong number of arguments for 'script'")
+
+    def _eval(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        loaded = self._script(session, now, [b"SCRIPT", b"LOAD", words[1]])
+        return loaded if isinstance(loaded, ErrorReply) else self._state(session, now, words)
+
+    def _evalsha(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        if words[1].decode("latin-1").lower() not in self.scripts:
+            return NO_SCRIPT
+        return self._state(session, now, words)
+
+    def _state(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        if len(words) != 8 or words[2] != b"1":
+            return ErrorReply("ERR the script takes one key and four arguments")
+        key, door = words[3], words[4]
+        fields = self._hash(session, now, key)
+        if fields is None:
+            return WRONG_TYPE
+        try:
+            before = float(fields.get(script.TOTAL, b"0"))
+            version, own, life = int(words[5]), float(words[6]), int(words[7])
+            total, found, changed = script.state(fields, door, version, own)
+        except ValueError:
+            return NOT_FLOAT
+        if changed:
+            expires = self._expires(session, key)
+            self._put(session, key, fields, now + life if expires == math.inf else expires)
+            if self.told is not None:
+                self.told(key, b"%.17g" % (total - before), b"%.17g" % total)
+        return [b"%.17g" % total, str(found).encode()]
+
+    def _role(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        if self.replica:
+            return [b"slave", b"127.0.0.1", 0, b"connected", self.offset]
+        return [b"master", self.offset, []]
+
+    def _asking(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        session.asking = True
+        return OK
+
+    def _auth(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        name, password = (words[1], words[2]) if len(words) == 3 else (b"default", words[1])
+        user = self.users.get(name.decode("latin-1"))
+        if user is None or user.password != password.decode("latin-1"):
+            return ErrorReply("WRONGPASS invalid username-password pair or user is disabled.")
+        session.user = user
+        return OK
+
+    def _pexpire(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        try:
+            span = int(words[2])
+        except ValueError:
+            return NOT_INTEGER
+        options = {word.upper() for word in words[3:]}
+        if not options <= {b"NX", b"XX", b"GT", b"LT"}:
+            return ErrorReply("ERR Unsupported option")
+        value = self._value(session, now, words[1])
+        if value is None:
+            return 0
+        expires = self._data(session)[words[1]][1]
+        has = expires != math.inf
+        if ((b"NX" in options and has) or (b"XX" in options and not has)
+                or (b"GT" in options and (not has or now + span <= expires))
+                or (b"LT" in options and has and now + span >= expires)):
+            return 0
+        if span <= 0:
+            self._remove(session, words[1])
+        else:
+            self._put(session, words[1], value, now + span)
+        return 1
+
+    def _info(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        keys = sum(len(data) for data in self._databases.values())
+        lines = ["# Server", f"redis_version:{VERSION}", f"run_id:{self.run_id}", "# Memory",
+                 f"used_memory:{self._bytes}", f"maxmemory:{self.max_bytes}", "# Stats",
+                 f"total_commands_processed:{self.commands}", f"evicted_keys:{self.evicted}", "# Replication",
+                 f"role:{'slave' if self.replica else 'master'}", f"master_repl_offset:{self.offset}",
+                 "# Keyspace", f"db0:keys={keys},expires=0"]
+        return "".join(line + "\r\n" for line in lines).encode()
+
+    def _client(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        what = words[1].upper()
+        if what == b"SETNAME" and len(words) == 3:
+            session.name = words[2]
+            return OK
+        if what == b"GETNAME":
+            return session.name or None
+        if what == b"ID":
+            return session.number
+        if what == b"SETINFO" and len(words) == 4:
+            return OK
+        return ErrorReply(f"ERR unknown subcommand '{words[1].decode('latin-1')}'. Try CLIENT HELP.")
+
+    def _hello(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        protocol = session.protocol
+        if len(words) > 1:
+            if words[1] not in (b"2", b"3"):
+                return ErrorReply("NOPROTO unsupported protocol version")
+            protocol = int(words[1])
+        at = 2
+        while at < len(words):
+            option = words[at].upper()
+            if option == b"SETNAME" and at + 1 < len(words):
+                session.name = words[at + 1]
+                at += 2
+            elif option == b"AUTH" and at + 2 < len(words):
+                answer = self._auth(session, now, words[at:at + 3])
+                if isinstance(answer, ErrorReply):
+                    return answer
+                at += 3
+            else:
+                return ErrorReply("ERR syntax error in HELLO option")
+        if self.users and session.user is None:
+            return ErrorReply("NOAUTH HELLO must be called with the client already authenticated, otherwise the HELLO "
+                              "<proto> AUTH <user> <pass> option can be used to authenticate the client")
+        session.protocol = protocol
+        return {"server": b"redis", "version": VERSION.encode(), "proto": protocol, "id": session.number,
+                "mode": b"standalone", "role": b"replica" if self.replica else b"master", "modules": []}
+
+    def _select(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        try:
+            number = int(words[1])
+        except ValueError:
+            return NOT_INTEGER
+        if not 0 <= number < 16:
+            return ErrorReply("ERR DB index is out of range")
+        session.database = number
+        return OK
+
+    def _dbsize(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        self._sweep(now)
+        return len(self._data(session))
+
+    def _flushall(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        for key in list(self._data(session)):
+            self._remove(session, key)
+        return OK
--- a/martenstep/standins/resp.py
+++ b/martenstep/standins/resp.py
@@ -19,6 +19,10 @@
     """An error, its code first."""
 
 
+class Push(list["Reply"]):
+    """What the server tells by itself: a push in RESP3, an array before it."""
+
+
 Reply = Simple | ErrorReply | int | float | bytes | None | list["Reply"] | dict[str, "Reply"]
 
 
@@ -98,6 +102,9 @@
             return b",%s\r\n" % text if protocol == 3 else b"$%d\r\n%s\r\n" % (len(text), text)
         case bytes():
             return b"$%d\r\n%s\r\n" % (len(reply), reply)
+        case Push():
+            sign = b">" if protocol == 3 else b"*"
+            return sign + b"%d\r\n" % len(reply) + b"".join(encode(part, protocol) for part in reply)
         case list():
             return b"*%d\r\n" % len(reply) + b"".join(encode(part, protocol) for part in reply)
         case dict():
--- /dev/null
+++ b/martenstep/store/slots.py
@@ -0,0 +1,17 @@
+"""Hash slots of a cluster, as its specification has them.  No I/O."""
+
+from __future__ import annotations
+
+from binascii import crc_hqx
+
+SLOTS = 16384
+
+
+def slot_of(key: bytes) -> int:
+    """CRC16 (XMODEM) of the key, or of the part in its first braces where that is not empty."""
+    start = key.find(b"{")
+    if start >= 0:
+        end = key.find(b"}", start + 1)
+        if end > start + 1:
+            key = key[start + 1 : end]
+    return crc_hqx(key, 0) % SLOTS
--- a/tests/test_standin_redis.py
+++ b/tests/test_standin_redis.py
@@ -17,7 +17,8 @@
 from martenstep.config import door_pb2 as pb
 from martenstep.interface import Verdict
 from martenstep.standins.base import Trace
-from martenstep.standins.redis import Keyspace, RedisServer, Session
+from martenstep.standins.redis.keyspace import Keyspace, Session
+from martenstep.standins.redis.server import RedisServer
 from martenstep.standins.resp import Commands, RespError, encode
 from martenstep.store.redis_store import RedisStore
 from tests.socket_rig import run
