Store: each door states its sum under a version, so that no add is lost or doubled; sentinels and clusters

An add over Redis was ambiguous after a time-out, and a store that was emptied or went back to a lagging replica was not noticed: the totals fell, and each door took the others' counting anew for new use. Now a sans-I/O core (store/core.py) decides what the calls do. A name holds one register for each door's life: its sum and a version. A door states its sum by a script, which may be sent any number of times; what the register held before is told back, and less than was acknowledged proves a loss. Then each name of the node is stated once more, and the others' part is taken to be no less than last told until they have stated theirs. A breaker for each node, whose trial is a write; plain adds without scripts, sent once.

Topologies: alone, primary by sentinels with +switch-master, cluster with MOVED, ASK, TRYAGAIN. ACL users, passwords from files, TLS.

--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -173,6 +173,38 @@
         check.fault(node, "certificate and key go together")
 
 
+def _check_store(check: Checker, store: pb.Store, node: Node) -> None:
+    """Where the shared store is, and who we are there."""
+    if store.topology == pb.Store.ALONE:
+        check.port(store, node, any_free=False)
+        if store.node:
+            check.fault(node.at("node"), "given beside topology ALONE; host and port are for that")
+    else:
+        kind = pb.Store.Topology.Name(store.topology)
+        for name in ("host", "port"):
+            if store.HasField(name):
+                check.fault(node.at(name), f"given beside topology {kind}; nodes are for that")
+        if not store.node:
+            check.fault(node.at("node"), "missing: at least one is needed")
+        for entry, at in zip(store.node, node.all("node"), strict=True):
+            check.port(entry, at, any_free=False)
+    if store.topology == pb.Store.SENTINEL:
+        check.needed(store, node, "primary_name")
+    if store.topology == pb.Store.CLUSTER and store.database:
+        check.fault(node.at("database"), "expected 0: a cluster has no other")
+    for name in ("password_file", "sentinel_password_file"):
+        _file(check, store, node, name)
+    if store.user and not store.password_file:
+        check.fault(node.at("user"), "given without password_file")
+    if store.HasField("tls"):
+        check_client_tls(check, store.tls, node.at("tls"))
+        if store.tls.server_name:
+            check.fault(node.at("tls").at("server_name"), "not taken for the store: its nodes' hosts are checked")
+    for name in ("connections", "waiting"):
+        check.number(store, node, name, 1)
+    check.number(store, node, "gather_ms", 0, store.timeout_ms / 2)
+
+
 def _check_parts(check: Checker, door: pb.Door, root: Node) -> None:
     """Listener, upstream, store, members, admin and log."""
     node = root.at("listener")
@@ -196,9 +228,7 @@
             check.fault(node.at("error_status"), f"expected a status from 400 to 599, got {status}")
     if door.HasField("store"):
         node = root.at("store")
-        check.port(door.store, node, any_free=False)
-        for name in ("connections", "waiting"):
-            check.number(door.store, node, name, 1)
+        _check_store(check, door.store, node)
     if door.HasField("counter"):
         node = root.at("counter")
         if door.counter.service:
--- a/martenstep/door/daemon.py
+++ b/martenstep/door/daemon.py
@@ -41,7 +41,9 @@
         self.engine = Engine(door, random.SystemRandom().getrandbits(63) if seed is None else seed)
         self.driver = Driver(door, self.engine, self.notes.note)
         self.ready = False
-        self._store = RedisStore(door.store, self._counted) if door.HasField("store") else None
+        self._store: RedisStore | None = None
+        if door.HasField("store"):
+            self._store = RedisStore(door.store, self._counted, door.name, self.notes.note)
         self._counter: Shards | None = None
         self._exporter: Exporter | None = None
         self._feed = Feed(door.members, door.name, self._listed, self._odd, now_ms)
@@ -153,7 +155,11 @@
             self.notes.note("fault", {"where": "feed", "error": repr(task.exception())})
 
     def _counts(self) -> dict[str, float]:
-        return {**self.driver.counts, "upstream_connections_opened": self.driver.pool.opened}
+        made: dict[str, float] = {**self.driver.counts, "upstream_connections_opened": self.driver.pool.opened}
+        if self._store is not None:
+            for what, count in self._store.core.counts.items():
+                made[f"store_{what.replace(' ', '_').lower()}"] = count
+        return made
 
     def _gauges(self) -> dict[str, float]:
         held: dict[str, float] = {f"held_{name}": value for name, value in self.engine.held.items()}
--- /dev/null
+++ b/martenstep/store/core.py
@@ -0,0 +1,669 @@
+"""What the calls to the store do: no I/O, no clock.  Times are milliseconds of any one clock.
+
+Each name has a register: the sum of what this door's life ever added to it, under a version that only grows.  A call
+states the sum (`script.py`), so it may be sent again after a lost answer, and whatever was left uncertain is settled by
+any later statement of the same name.  What the module is told follows from that:
+
+| what happened | verdict | was it added |
+| --- | --- | --- |
+| the total came back | OK | yes, once |
+| no place in the queue, or its time ended before it was written, or the store turned it down | FULL | no |
+| no way to the store, or its breaker is open | CONNECT_FAILED | no |
+| written, and no answer in its time | TIMEOUT | once, by now or by a later statement |
+
+Without scripts it falls back to plain adds, which are never sent twice: a TIMEOUT may then have been added or not, and
+contents that were lost are not noticed.
+
+A statement tells what the register held before.  Less than the door knows to have been there proves that the store
+lost contents or went back to older ones: each name of that node is then stated once more, and what the others had used
+is taken to be no less than was last told, until their own statements have come.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter, OrderedDict, deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from martenstep.backoff import Backoff
+from martenstep.interface import Verdict
+from martenstep.store.slots import SLOTS, slot_of
+
+BATCH = 64  # statements in one write at most: more would make the last wait for the first
+RESTORE_BATCH = 32  # of those, statements made anew after a loss: calls keep their place
+MOST_TURNS = 5  # a call is redirected or asked to come again so often at most
+BREAK_AFTER = 4  # failures in a row after which a node is left alone
+AGAIN_LEAST_MS, AGAIN_MOST_MS = 20.0, 400.0  # between attempts on a node that fails
+PROBE_MS = 250.0  # a node that was told nothing for so long is asked whether it still has what it had
+LEARN_MS = 50.0  # the topology is asked for no more often
+TRY_AGAIN_MS = 5.0  # a slot that is under way
+REST_MS = 100.0  # a store that turns down what is stated anew is left alone with that for so long
+MOST_NAMES = 200_000  # registers at once: past that a new name is turned away, since none may be forgotten
+SWEEP_MS = 1000.0
+DOWN = ("LOADING", "BUSY", "MASTERDOWN", "CLUSTERDOWN", "READONLY", "NOAUTH")  # the node fails, not the call
+NO_SCRIPTS = ("NOPERM", "unknown command")
+
+
+class Lane(NamedTuple):
+    """One connection to one node."""
+
+    node: str
+    number: int
+
+
+@dataclass(slots=True, eq=False)
+class Op:
+    """One statement, or one plain add, on its way."""
+
+    name: int
+    units: float
+    call: int | None
+    until: float
+    version: int = 0  # 0: not stated yet
+    total: float = 0.0
+    known: int = 0  # the version that the store was known to hold when this was written
+    life_ms: int = 0
+    uncertain: bool = False  # it was written once, and no answer came
+    asking: bool = False
+    turns: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Open:
+    """Connect."""
+
+    lane: Lane
+
+
+@dataclass(frozen=True, slots=True)
+class Close:
+    """Drop the connection; what it may still say is nobody's."""
+
+    lane: Lane
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Send these in one write; each is answered in turn."""
+
+    lane: Lane
+    ops: tuple[Op, ...]
+    load: bool  # the script first
+    plain: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """The answer to a call."""
+
+    call: int
+    verdict: Verdict
+    total: float
+
+
+@dataclass(frozen=True, slots=True)
+class Learn:
+    """Ask for the topology."""
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A line for the log."""
+
+    what: str
+    fields: dict[str, object]
+
+
+Action = Open | Close | Write | Told | Learn | Note
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """A statement's answer: the name's total, and the version that the register held before; -1 after a plain add."""
+
+    total: float
+    found: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """An error that the store answered with."""
+
+    text: str
+
+    @property
+    def code(self) -> str:
+        """Its first word."""
+        return self.text.split(" ", 1)[0]
+
+
+@dataclass(slots=True)
+class Register:
+    """What this door's life added to one name."""
+
+    until: float  # the name is forgotten then
+    sum: float = 0.0
+    version: int = 0
+    acked: int = 0  # the newest version that the store told of
+    others: float = 0.0  # of the last total, what is not this door's
+    floor: float = 0.0  # the others had used no less, whatever a store that lost contents says
+    generation: int = 0  # of the node's contents, when it last answered for this name
+
+
+class _Lane:
+    def __init__(self, lane: Lane, node: _Node) -> None:
+        self.lane, self.node = lane, node
+        self.ready = self.opening = False
+        self.queue: deque[Op] = deque()
+        self.restore: OrderedDict[int, None] = OrderedDict()
+        self.out: deque[Op] = deque()
+        self.again: list[Op] = []  # answered with a reason to send them again, once the rest is answered
+        self.since = 0.0  # the write that is out
+        self.first = 0.0  # the queue's first came
+        self.not_before = -math.inf  # nothing is written
+        self.rest_until = -math.inf  # nothing is stated anew
+        self.newest: int | None = None  # the name that was answered last
+        self.load = True
+
+    @property
+    def busy(self) -> bool:
+        return bool(self.out) or self.opening
+
+
+class _Node:
+    def __init__(self, name: str, lanes: int, rng: random.Random) -> None:
+        self.name = name
+        self.lanes = [_Lane(Lane(name, index), self) for index in range(lanes)]
+        self.failures = 0
+        self.backoff = Backoff(AGAIN_LEAST_MS, AGAIN_MOST_MS, rng)
+        self.closed_until = -math.inf
+        self.plain = False
+        self.generation = 0  # of its contents, no other node's
+        self.noted = 0  # the generation whose loss was told of
+        self.heard = -math.inf
+
+    @property
+    def broken(self) -> bool:
+        return self.failures >= BREAK_AFTER
+
+    @property
+    def busy(self) -> bool:
+        return any(lane.busy for lane in self.lanes)
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Figures of the settings."""
+
+    timeout_ms: float = 50.0
+    lanes: int = 4  # connections to each node
+    waiting: int = 1000  # calls that one lane holds
+    gather_ms: float = 0.0  # a call waits so long for others to share its write
+    prefix: str = "mstep:"
+    scripts: bool = True
+    topology: bool = False  # whether the nodes can change, and are to be asked for
+
+
+class Core:
+    """The calls of one door's life to the store."""
+
+    def __init__(self, options: Options, rng: random.Random) -> None:
+        self._options, self._rng = options, rng
+        self._nodes: dict[str, _Node] = {}
+        self._slots: list[str] = []  # node by slot; one alone where there are no slots
+        self._told: list[str] = []  # the same as the topology had it, without what MOVED told since
+        self._generation = 0
+        self._registers: OrderedDict[int, Register] = OrderedDict()  # the one that was answered last is last
+        self._homeless: deque[Op] = deque()  # until the topology is known
+        self._version = 0
+        self._actions: deque[Action] = deque()
+        self._learned = self._swept = -math.inf
+        self.counts: Counter[str] = Counter()
+
+    # What happens ---------------------------------------------------------------------------------------
+
+    def topology(self, now: float, slots: list[str]) -> None:
+        """Node by slot, or one node for all; what stood at nodes that are gone is sent to the new ones."""
+        before, self._told, self._slots = self._told, list(slots), list(slots)
+        for node_name in dict.fromkeys(slots):
+            self._node(node_name)
+        gone = [self._nodes.pop(name) for name in list(self._nodes) if name not in set(slots)]
+        if before and before != slots:
+            for name, register in self._registers.items():
+                at = self._node_of(name)
+                if at is not None and register.version and self._of(before, name) != at.name:
+                    register.generation = 0  # what is there now was not seen yet
+                    self._lane_of(name, at).restore[name] = None
+        for node in gone:
+            for lane in node.lanes:
+                self._actions.append(Close(lane.lane))
+                self._cut(now, lane)
+                for op in lane.queue:
+                    self._queue(now, op)
+                for name in lane.restore:
+                    self._restate(name)
+        while self._homeless:
+            self._queue(now, self._homeless.popleft())
+        self._turn(now)
+
+    def add(self, now: float, call: int, name: int, units: float, expire_ms: float) -> None:
+        """One call: told once, within the time-out."""
+        if name not in self._registers:
+            if len(self._registers) >= MOST_NAMES:
+                self._tell(call, Verdict.FULL)
+                return
+            self._registers[name] = Register(now + expire_ms)
+        self._queue(now, Op(name, units, call, now + self._options.timeout_ms))
+        self._turn(now)
+
+    def opened(self, now: float, at: Lane) -> None:
+        """A connection stands."""
+        lane = self._lane(at)
+        if lane is None or not lane.opening:
+            self._actions.append(Close(at))
+            return
+        lane.opening, lane.ready, lane.load = False, True, True
+        lane.rest_until = -math.inf
+        self._witness(lane)
+        self._turn(now)
+
+    def refused(self, now: float, at: Lane, error: str) -> None:
+        """A connection was not to be had."""
+        lane = self._lane(at)
+        if lane is not None and lane.opening:
+            lane.opening = False
+            self._failed(now, lane, error)
+            self._give_up(lane, Verdict.CONNECT_FAILED)
+            self._turn(now)
+
+    def lost(self, now: float, at: Lane, error: str) -> None:
+        """A connection broke."""
+        lane = self._lane(at)
+        if lane is not None and lane.ready:
+            if lane.out:
+                self._failed(now, lane, error)
+            else:  # by itself: every door's at once, so that each looks after what it had at a time of its own
+                lane.rest_until = now + PROBE_MS * self._rng.random()
+            self._cut(now, lane)
+            self._witness(lane)
+            self._turn(now)
+
+    def replied(self, now: float, at: Lane, result: Held | Fault) -> None:
+        """The answer to the first that is out."""
+        lane = self._lane(at)
+        if lane is None or not lane.out:
+            return
+        op = lane.out.popleft()
+        if isinstance(result, Held):
+            self._held(now, lane, op, result)
+        else:
+            self._fault(now, lane, op, result)
+        if not lane.out and lane.again:
+            again, lane.again = lane.again, []
+            for op in reversed(again):
+                self._queue(now, op, first=True)
+        self._turn(now)
+
+    def wake(self, now: float) -> None:
+        """Time has passed."""
+        for node in list(self._nodes.values()):
+            for lane in node.lanes:
+                self._expire(now, lane)
+            if self._probe_at(node) <= now and not node.busy:
+                for lane in node.lanes:
+                    if lane.ready or node.broken:
+                        self._witness(lane)
+                node.heard = now
+        while self._homeless and self._homeless[0].until <= now:
+            self._drop(self._homeless.popleft(), Verdict.CONNECT_FAILED)
+        if now - self._swept >= SWEEP_MS:
+            self._swept = now
+            busy = {op.name for lane in self._lanes() for op in (*lane.queue, *lane.out, *lane.again)}
+            for name in [n for n, r in self._registers.items() if r.until <= now and n not in busy]:
+                del self._registers[name]
+        self._turn(now)
+
+    def take(self) -> Iterator[Action]:
+        """What is to be done, in order."""
+        while self._actions:
+            yield self._actions.popleft()
+
+    def next_at(self, now: float) -> float:
+        """When `wake` is needed next; infinity for never."""
+        at = math.inf
+        for lane in self._lanes():
+            if lane.out:
+                at = min(at, lane.since + self._options.timeout_ms,
+                         *(op.until for op in lane.out if op.call is not None))
+            if lane.queue:
+                at = min(at, lane.queue[0].until)
+            if not lane.busy and (lane.queue or lane.restore):
+                at = min(at, self._may_at(lane))
+        for node in self._nodes.values():
+            if self._registers:
+                at = min(at, self._probe_at(node))
+        if self._homeless:
+            at = min(at, self._homeless[0].until, self._learned + LEARN_MS)
+        return max(at, now) if at < math.inf else at
+
+    @property
+    def settled(self) -> bool:
+        """Whether the store has all that was added, as far as this door knows."""
+        return not any(lane.queue or lane.out or lane.restore for lane in self._lanes())
+
+    def _may_at(self, lane: _Lane) -> float:
+        """When a lane with something to send may open or write."""
+        node = lane.node
+        if node.broken and node.busy:
+            return math.inf  # its end is an event
+        closed = node.closed_until if node.broken or not lane.ready else -math.inf
+        calls = lane.first + self._options.gather_ms if lane.queue and lane.ready else -math.inf
+        if len(lane.queue) >= BATCH:
+            calls = -math.inf
+        return max(closed, lane.not_before, calls if lane.queue else lane.rest_until)
+
+    def _probe_at(self, node: _Node) -> float:
+        """When a node is asked whether it still has what it had: one that is left alone as soon as it may be asked."""
+        if node.broken:
+            return node.closed_until
+        return node.heard + PROBE_MS if any(lane.ready for lane in node.lanes) else math.inf
+
+    # Where things go ------------------------------------------------------------------------------------
+
+    def _of(self, slots: list[str], name: int) -> str:
+        return slots[slot_of(self.key(name)) if len(slots) == SLOTS else 0]
+
+    def key(self, name: int) -> bytes:
+        """The store's key of a name."""
+        return f"{self._options.prefix}{name:x}".encode()
+
+    def _node_of(self, name: int) -> _Node | None:
+        return self._nodes.get(self._of(self._slots, name)) if self._slots else None
+
+    def _lane_of(self, name: int, node: _Node) -> _Lane:
+        return node.lanes[name % len(node.lanes)]
+
+    def _lane(self, at: Lane) -> _Lane | None:
+        node = self._nodes.get(at.node)
+        return node.lanes[at.number] if node is not None else None
+
+    def _node(self, name: str) -> _Node:
+        found = self._nodes.get(name)
+        if found is None:
+            found = self._nodes[name] = _Node(name, self._options.lanes, self._rng)
+            self._anew(found)
+        return found
+
+    def _anew(self, node: _Node) -> None:
+        self._generation += 1
+        node.generation = self._generation
+
+    def _lanes(self) -> Iterable[_Lane]:
+        return (lane for node in self._nodes.values() for lane in node.lanes)
+
+    def _queue(self, now: float, op: Op, first: bool = False) -> None:
+        node = self._node_of(op.name)
+        if node is None:
+            if len(self._homeless) >= self._options.waiting:
+                self._drop(op, Verdict.FULL)
+                return
+            self._homeless.append(op)
+            self._learn(now)
+            return
+        lane = self._lane_of(op.name, node)
+        if node.broken and op.call is not None and (node.closed_until > now or node.busy or self._newest(lane)):
+            # Its one trial is a statement of what it had, where there is any: no request waits for it.
+            self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.CONNECT_FAILED)
+        elif first:
+            lane.queue.appendleft(op)
+        elif len(lane.queue) + len(lane.out) >= self._options.waiting:
+            self._drop(op, Verdict.FULL)
+        else:
+            if not lane.queue:
+                lane.first = now
+            lane.queue.append(op)
+
+    def _newest(self, lane: _Lane) -> int | None:
+        """The name of a lane that was answered last: a store that kept this one kept all that came before it."""
+        name = lane.newest
+        if name is None or name not in self._registers or self._node_of(name) is not lane.node:
+            return next(iter(lane.restore), None)
+        return name
+
+    def _witness(self, lane: _Lane) -> None:
+        """Ask whether what was there last is there still."""
+        name = self._newest(lane)
+        if name is not None:
+            lane.restore[name] = None
+            lane.restore.move_to_end(name, last=False)
+
+    # What goes out --------------------------------------------------------------------------------------
+
+    def _turn(self, now: float) -> None:
+        """Let every lane do what it can."""
+        for lane in self._lanes():
+            if lane.busy or not (lane.queue or lane.restore) or self._may_at(lane) > now:
+                continue
+            if lane.ready:
+                self._write(now, lane)
+            else:
+                lane.opening = True
+                self._actions.append(Open(lane.lane))
+
+    def _write(self, now: float, lane: _Lane) -> None:
+        plain = lane.node.plain or not self._options.scripts
+        batch: list[Op] = []
+        while lane.queue and len(batch) < BATCH:
+            op = lane.queue.popleft()
+            if op.until <= now:
+                self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.FULL)
+                continue
+            batch.append(op)
+        lane.first = now
+        stated = {op.name for op in batch}
+        for _ in range(min(len(lane.restore), RESTORE_BATCH) if lane.rest_until <= now else 0):
+            name, _ = lane.restore.popitem(last=False)
+            register = self._registers.get(name)
+            if plain or register is None or register.until <= now or name in stated:
+                continue
+            batch.append(Op(name, 0.0, None, math.inf))
+            self.counts["stated again"] += 1
+        if not batch:
+            return
+        for op in batch:
+            register = self._registers.setdefault(op.name, Register(now + SWEEP_MS))
+            if not plain and not op.version:
+                if op.units:
+                    self._version += 1
+                    register.sum, register.version = register.sum + op.units, self._version
+                op.version, op.total = register.version, register.sum
+            op.known, op.life_ms = register.acked, max(round(register.until - now), 1)
+        lane.out.extend(batch)
+        lane.since = now
+        self.counts["writes"] += 1
+        self.counts["statements"] += len(batch)
+        self._actions.append(Write(lane.lane, tuple(batch), lane.load and not plain, plain))
+        lane.load = False
+
+    # What comes back ------------------------------------------------------------------------------------
+
+    def _held(self, now: float, lane: _Lane, op: Op, held: Held) -> None:
+        node = lane.node
+        node.heard = now
+        if node.failures:
+            node.failures, node.closed_until = 0, -math.inf
+            node.backoff.succeeded()
+        register = self._registers.get(op.name)
+        if held.found < 0 or register is None:
+            self._tell(op.call, Verdict.OK, held.total)
+            return
+        if held.found < op.known:
+            self._lost_contents(node, op, register.generation == node.generation)
+        if register.generation != node.generation:
+            register.floor = max(register.floor, register.others)
+            register.generation = node.generation
+        told = held.total
+        if held.found <= op.version:
+            others = held.total - op.total
+            told = op.total + max(others, register.floor)
+            if others >= register.floor:
+                register.floor, register.others = 0.0, others
+        register.acked = max(register.acked, op.version, held.found)
+        lane.newest = op.name
+        if register.version > register.acked and not self._coming(lane, op.name):
+            lane.restore[op.name] = None  # a statement of it went missing
+        self._tell(op.call, Verdict.OK, told)
+
+    @staticmethod
+    def _coming(lane: _Lane, name: int) -> bool:
+        return any(other.name == name and other.version for other in (*lane.out, *lane.again, *lane.queue))
+
+    def _lost_contents(self, node: _Node, op: Op, anew: bool) -> None:
+        """The store does not hold what it held: state all that this door has there, once."""
+        if anew:
+            self._anew(node)
+            for name in reversed(self._registers):  # the newest names matter most
+                if name != op.name and self._registers[name].version and self._node_of(name) is node:
+                    self._lane_of(name, node).restore[name] = None
+        if node.noted != node.generation:
+            node.noted = node.generation
+            self.counts["losses"] += 1
+            names = sum(len(lane.restore) for lane in node.lanes) + 1
+            self._actions.append(Note("store lost contents", {"node": node.name, "names": names}))
+
+    def _fault(self, now: float, lane: _Lane, op: Op, fault: Fault) -> None:
+        """The store did not do it; whether it may have done so before is known from `uncertain`."""
+        node, code = lane.node, fault.code
+        self.counts[f"fault {code}"] += 1
+        op.turns += 1
+        if code in DOWN:
+            self._failed(now, lane, code)
+        else:
+            node.heard = now
+        if op.call is not None and op.version and op.units and not op.uncertain:
+            self._take_back(lane, op)
+        turn = op.turns <= MOST_TURNS and op.until > now
+        if code == "NOSCRIPT":
+            lane.load = True
+        elif self._options.scripts and any(word in fault.text for word in NO_SCRIPTS):
+            if not node.plain:
+                node.plain = True
+                self._actions.append(Note("store without scripts", {"node": node.name, "error": fault.text}))
+        elif code == "ASK" and turn and self._slot_told(fault) is not None:
+            self._elsewhere(now, op, fault)
+            return
+        elif code == "MOVED" and (slot := self._slot_told(fault)) is not None:
+            self._slots[slot] = self._node(fault.text.split()[2]).name
+            self._learn(now)
+        elif code == "TRYAGAIN":
+            lane.not_before = now + TRY_AGAIN_MS
+        elif code in ("READONLY", "CLUSTERDOWN") and self._options.topology:
+            self._learn(now)
+            lane.not_before = now + TRY_AGAIN_MS
+        else:
+            turn = False
+        if turn and (op.call is not None or op.version):
+            lane.again.append(op)
+        elif op.call is not None:
+            self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.FULL)
+        elif op.version:
+            lane.rest_until = max(lane.rest_until, now + REST_MS)
+            self._restate(op.name)
+
+    def _take_back(self, lane: _Lane, op: Op) -> None:
+        """A statement was turned down, so its units were not added: later ones leave them out."""
+        register = self._registers[op.name]
+        self._version += 1
+        register.sum, register.version, op.version = register.sum - op.units, self._version, 0
+        if self._coming(lane, op.name):
+            self._restate(op.name)  # what is behind it was stated with these units
+
+    def _slot_told(self, fault: Fault) -> int | None:
+        """The slot of a redirection; None where it is none that can be followed."""
+        words = fault.text.split()
+        good = len(words) == 3 and words[1].isdigit() and int(words[1]) < len(self._slots) == SLOTS
+        return int(words[1]) if good else None
+
+    def _elsewhere(self, now: float, op: Op, fault: Fault) -> None:
+        """Another node has the name for this one time."""
+        op.asking = True
+        if op.call is None:
+            op.until = now + self._options.timeout_ms
+        self.counts["asked elsewhere"] += 1
+        self._lane_of(op.name, self._node(fault.text.split()[2])).queue.appendleft(op)
+
+    def _failed(self, now: float, lane: _Lane, error: str) -> None:
+        node = lane.node
+        was = node.broken
+        node.failures += 1
+        if node.broken:
+            node.closed_until = now + node.backoff.failed()
+            if not was:
+                self.counts["breaks"] += 1
+                self._actions.append(Note("store node left alone", {"node": node.name, "error": error}))
+        else:
+            node.closed_until = now + AGAIN_LEAST_MS * self._rng.uniform(0.0, 1.0)
+        if self._options.topology:
+            self._learn(now)
+
+    def _cut(self, now: float, lane: _Lane) -> None:
+        """A connection is gone, and what was out with it is uncertain."""
+        lane.ready = lane.opening = False
+        plain = lane.node.plain or not self._options.scripts
+        out = [*lane.again, *lane.out]
+        lane.again.clear()
+        lane.out.clear()
+        for op in reversed(out):
+            op.uncertain = True
+            op.asking = False
+            if plain or op.until <= now or op.call is None:
+                self._drop(op, Verdict.TIMEOUT)
+            else:
+                self.counts["sent again"] += 1
+                lane.queue.appendleft(op)
+
+    def _give_up(self, lane: _Lane, verdict: Verdict) -> None:
+        """Nothing that waits at a lane has a way out."""
+        waiting, lane.queue = lane.queue, deque()
+        for op in waiting:
+            self._drop(op, Verdict.TIMEOUT if op.uncertain else verdict)
+
+    def _expire(self, now: float, lane: _Lane) -> None:
+        for op in lane.out:
+            if op.until <= now and op.call is not None:
+                self._tell(op.call, Verdict.TIMEOUT)
+                op.call = None
+        while lane.queue and lane.queue[0].until <= now:
+            op = lane.queue.popleft()
+            self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.FULL)
+        if lane.out and now - lane.since >= self._options.timeout_ms:
+            self._actions.append(Close(lane.lane))
+            self._failed(now, lane, "no answer in time")
+            self._cut(now, lane)
+
+    def _drop(self, op: Op, verdict: Verdict) -> None:
+        """An operation ends without an answer; what it may have left is stated again."""
+        self._tell(op.call, verdict)
+        op.call = None
+        if op.uncertain:
+            self._restate(op.name)
+
+    def _restate(self, name: int) -> None:
+        node = self._node_of(name)
+        if node is not None and name in self._registers and self._registers[name].version:
+            self._lane_of(name, node).restore[name] = None
+
+    def _tell(self, call: int | None, verdict: Verdict, total: float = 0.0) -> None:
+        if call is not None:
+            self.counts[verdict.name] += 1
+            self._actions.append(Told(call, verdict, total))
+
+    def _learn(self, now: float) -> None:
+        if self._options.topology and now - self._learned >= LEARN_MS:
+            self._learned = now
+            self._actions.append(Learn())
+
+
--- a/martenstep/store/redis_store.py
+++ b/martenstep/store/redis_store.py
@@ -1,192 +1,226 @@
-"""Adds over Redis: `INCRBYFLOAT` and `PEXPIRE ... NX` in one MULTI/EXEC.
-
-An add is not idempotent, so nothing here is ever sent twice: the client library's own retries are off, and a
-connection whose answers are late is closed, never read again, so that a late answer cannot be taken for another
-call's.  Calls for one name keep to one lane, so that their answers come in the order of the calls.  Calls that
-come in while a lane waits go out together in its next write.
-
-| what happened | verdict | was it added |
-| --- | --- | --- |
-| the total came back | OK | yes |
-| a lane's queue is full, or the call's time ended before it was written | FULL | no |
-| no connection, or it was refused | CONNECT_FAILED | no |
-| Redis turned the command down | FULL | no |
-| written, and no answer in time, or the connection broke | TIMEOUT | it may have been |
+"""The counter port over Redis: binds the core's decisions to sockets, timers and the client library.
+
+A connection's answers are read in the order of its commands; one that is given up is closed and never read again, so
+that a late answer cannot be taken for another call's.
 """
 
 from __future__ import annotations
 
 import asyncio
+import random
 import time
-from collections import deque
 from collections.abc import Callable
-from contextlib import suppress
-from dataclasses import dataclass
+from typing import Any
 
 from redis.asyncio.connection import Connection
-from redis.asyncio.retry import Retry
-from redis.backoff import NoBackoff
-from redis.exceptions import RedisError, ResponseError
+from redis.exceptions import ResponseError
 
 from martenstep.config import door_pb2 as pb
 from martenstep.interface import Verdict
+from martenstep.store import script
+from martenstep.store.core import Close, Core, Fault, Held, Lane, Learn, Note, Op, Open, Options, Told, Write
+from martenstep.store.topology import ERRORS, Nodes, TopologyError, close
 
-BATCH = 64  # adds in one write at most: more would make the last wait for the first
-AGAIN_MS = 20.0  # a lane that got no connection tries no sooner than this
+CONNECT_TIMES = 5.0  # a connection may take so many time-outs of a call
+LEARN_AGAIN_MS = 50.0  # after nobody told who the nodes are
+FLUSH_MS = 500.0  # at a stop: what is not settled by then is left
 
 Answer = Callable[[int, Verdict, float], None]
+Tell = Callable[[str, dict[str, object]], None]
 
 
-@dataclass(slots=True)
-class _Call:
-    number: int
-    name: int
-    units: float
-    expire_ms: float
-    until: float  # monotonic seconds
+def now_ms() -> float:
+    """A clock that only goes on."""
+    return time.monotonic() * 1000.0
 
 
-class Lane:
-    """One connection and the calls that go over it."""
+def fault_of(error: Exception) -> Fault:
+    """What the store said, its code first, which the library takes off."""
+    code = getattr(error, "status_code", None)
+    return Fault(f"{code} {error}" if code and not str(error).startswith(code) else str(error))
 
-    def __init__(self, store: pb.Store, answer: Answer) -> None:
-        self._store, self._answer = store, answer
-        self._waiting: deque[_Call] = deque()
-        self._wake = asyncio.Event()
-        self._connection: Connection | None = None
-        self._refused = 0.0  # when a connection was last not to be had
-
-    def add(self, call: _Call) -> None:
-        """Queue one add, or turn it away."""
-        if len(self._waiting) >= self._store.waiting:
-            self._answer(call.number, Verdict.FULL, 0.0)
-            return
-        self._waiting.append(call)
-        self._wake.set()
-
-    async def run(self) -> None:
-        """Serve the queue until cancelled."""
-        try:
-            while True:
-                if not self._waiting:
-                    self._wake.clear()
-                    await self._wake.wait()
-                await self._round()
-        finally:
-            await self._drop()
-
-    async def _round(self) -> None:
-        """One write and its answers."""
-        now = time.monotonic()
-        while self._waiting and self._waiting[0].until <= now:
-            self._answer(self._waiting.popleft().number, Verdict.FULL, 0.0)
-        if not self._waiting:
-            return
-        connection = await self._connect(self._waiting[0].until)
-        if connection is None:
-            # What waits has not been written: it may go out yet if its time allows, else it was not added.
-            now = time.monotonic()
-            failed, self._waiting = self._waiting, deque()
-            for call in failed:
-                self._answer(call.number, Verdict.CONNECT_FAILED, 0.0)
-            return
-        batch = [self._waiting.popleft() for _ in range(min(len(self._waiting), BATCH))]
-        left = deque(batch)
-        try:
-            async with asyncio.timeout(max(min(call.until for call in batch) - time.monotonic(), 0.0)):
-                await connection.send_packed_command(self._packed(connection, batch), check_health=False)
-                for call in batch:
-                    verdict, total = await self._read(connection)
-                    left.popleft()
-                    self._answer(call.number, verdict, total)
-        except (TimeoutError, RedisError, OSError):
-            await self._drop()
-            for call in left:
-                self._answer(call.number, Verdict.TIMEOUT, 0.0)
-        except asyncio.CancelledError:
-            for call in left:
-                self._answer(call.number, Verdict.TIMEOUT, 0.0)
-            raise
-
-    def _packed(self, connection: Connection, batch: list[_Call]) -> list[bytes]:
-        commands: list[tuple[str, ...]] = []
-        for call in batch:
-            key = f"{self._store.prefix}{call.name:x}"
-            commands += [
-                ("MULTI",),
-                ("INCRBYFLOAT", key, f"{call.units:.9g}"),
-                ("PEXPIRE", key, str(max(round(call.expire_ms), 1)), "NX"),
-                ("EXEC",),
-            ]
-        packed: list[bytes] = connection.pack_commands(commands)
-        return packed
-
-    async def _read(self, connection: Connection) -> tuple[Verdict, float]:
-        """The four answers of one add; a command that Redis turns down fails the whole of it."""
-        refused = False
-        for _ in range(3):
-            try:
-                await connection.read_response()
-            except ResponseError:
-                refused = True
-        try:
-            results = await connection.read_response()
-        except ResponseError:
-            return Verdict.FULL, 0.0
-        if refused or not isinstance(results, list) or isinstance(results[0], Exception):
-            return Verdict.FULL, 0.0
-        return Verdict.OK, float(results[0])
-
-    async def _connect(self, until: float) -> Connection | None:
-        if self._connection is not None:
-            if self._connection.is_connected:
-                return self._connection
-            await self._drop()
-        pause = self._refused + AGAIN_MS / 1000 - time.monotonic()
-        if pause > 0:
-            await asyncio.sleep(pause)
-        fresh = Connection(host=self._store.host, port=self._store.port, db=self._store.database,
-                           retry=Retry(NoBackoff(), 0), decode_responses=True, driver_info=None)
-        try:
-            async with asyncio.timeout(max(until - time.monotonic(), 0.0)):
-                await fresh.connect()  # type: ignore[no-untyped-call]
-        except (TimeoutError, RedisError, OSError):
-            self._refused = time.monotonic()
-            await self._close(fresh)
-            return None
-        self._connection = fresh
-        return fresh
-
-    async def _drop(self) -> None:
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            await self._close(connection)
 
-    @staticmethod
-    async def _close(connection: Connection) -> None:
-        with suppress(RedisError, OSError, TimeoutError):
-            await connection.disconnect(nowait=True)
+class _Link:
+    """One lane's connection."""
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+        self.writes: asyncio.Queue[Write] = asyncio.Queue()
+        self.task: asyncio.Task[None] | None = None
 
 
 class RedisStore:
-    """All lanes to one Redis."""
+    """The calls of one door to its shared store."""
 
-    def __init__(self, store: pb.Store, answer: Answer) -> None:
-        self._store = store
-        self._lanes = [Lane(store, answer) for _ in range(store.connections)]
-        self._tasks: list[asyncio.Task[None]] = []
+    def __init__(self, store: pb.Store, answer: Answer, door: str = "door", note: Tell | None = None) -> None:
+        self._store, self._answer = store, answer
+        self._note: Tell = note or (lambda what, fields: None)
+        self._nodes = Nodes(store)
+        # Another life's register is never gone on with: its sums are not known any more.
+        self._door = f"{door}:{time.time_ns():x}{random.SystemRandom().getrandbits(16):04x}"
+        many = store.topology != pb.Store.ALONE
+        self.core = Core(Options(
+            timeout_ms=store.timeout_ms, lanes=store.connections, waiting=store.waiting, gather_ms=store.gather_ms,
+            prefix=store.prefix, scripts=store.scripts, topology=many), random.Random())
+        self._links: dict[Lane, _Link] = {}
+        self._known: list[str] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._learning: asyncio.Task[None] | None = None
+        self._hearing: asyncio.Task[None] | None = None
+        self._stopped = False
 
     def start(self) -> None:
-        """Start the lanes; connections are made when they are first needed."""
-        self._tasks = [asyncio.create_task(lane.run()) for lane in self._lanes]
+        """Connections are made when they are first needed."""
+        if self._store.topology == pb.Store.ALONE:
+            self.core.topology(now_ms(), [f"{self._store.host}:{self._store.port}"])
+        else:
+            self._learn()
+        if self._store.topology == pb.Store.SENTINEL:
+            self._hearing = asyncio.create_task(self._nodes.heard(self._learn))
 
     def add(self, number: int, name: int, units: float, expire_ms: float) -> None:
         """Ask for one add; `answer` is called once for it, within the time-out."""
-        until = time.monotonic() + self._store.timeout_ms / 1000
-        self._lanes[name % len(self._lanes)].add(_Call(number, name, units, expire_ms, until))
+        self.core.add(now_ms(), number, name, units, expire_ms)
+        self._act()
 
     async def stop(self) -> None:
-        """End the lanes."""
-        for task in self._tasks:
+        """Bring the store what it has not got yet, within a bound, and leave."""
+        until = now_ms() + FLUSH_MS
+        while not self.core.settled and now_ms() < until:
+            await asyncio.sleep(0.002)
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        tasks = [task for task in (self._learning, self._hearing, *(link.task for link in self._links.values()))
+                 if task is not None]
+        self._links.clear()
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    # What the core wants ----------------------------------------------------------------------------------
+
+    def _act(self) -> None:
+        for action in self.core.take():
+            match action:
+                case Told():
+                    self._answer(action.call, action.verdict, action.total)
+                case Write():
+                    self._links[action.lane].writes.put_nowait(action)
+                case Open():
+                    link = self._links[action.lane] = _Link(self._nodes.connection(action.lane.node))
+                    link.task = asyncio.create_task(self._serve(action.lane, link))
+                case Close():
+                    gone = self._links.pop(action.lane, None)
+                    if gone is not None and gone.task is not None and gone.task is not asyncio.current_task():
+                        gone.task.cancel()
+                case Learn():
+                    self._learn()
+                case Note():
+                    self._note(action.what, action.fields)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        now = now_ms()
+        at = self.core.next_at(now)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if at < float("inf") and not self._stopped:
+            self._timer = asyncio.get_running_loop().call_later(max(at - now, 0.0) / 1000, self._wake)
+
+    def _wake(self) -> None:
+        self.core.wake(now_ms())
+        self._act()
+
+    def _learn(self) -> None:
+        if self._learning is None or self._learning.done():
+            self._learning = asyncio.create_task(self._learned())
+
+    async def _learned(self) -> None:
+        while True:
+            try:
+                slots = await self._nodes.ask(self._known)
+            except TopologyError as error:
+                self._note("store nodes unknown", {"error": str(error)})
+                await asyncio.sleep(LEARN_AGAIN_MS / 1000)
+                continue
+            break
+        self._known = list(dict.fromkeys(slots))
+        self.core.topology(now_ms(), slots)
+        self._act()
+
+    # One connection -----------------------------------------------------------------------------------------
+
+    async def _serve(self, lane: Lane, link: _Link) -> None:
+        """Open it, and send and read until it ends or is given up."""
+        connection = link.connection
+        try:
+            try:
+                async with asyncio.timeout(self._store.timeout_ms * CONNECT_TIMES / 1000):
+                    await connection.connect()  # type: ignore[no-untyped-call]
+            except ERRORS as error:
+                if self._links.get(lane) is link:
+                    del self._links[lane]
+                    self.core.refused(now_ms(), lane, f"{type(error).__name__}: {error}")
+                    self._act()
+                return
+            self.core.opened(now_ms(), lane)
+            self._act()
+            try:
+                while self._links.get(lane) is link:
+                    await self._exchange(lane, link, await link.writes.get())
+            except ERRORS as error:
+                if self._links.get(lane) is link:
+                    del self._links[lane]
+                    self.core.lost(now_ms(), lane, f"{type(error).__name__}: {error}")
+                    self._act()
+        finally:
+            await close(connection)
+
+    async def _exchange(self, lane: Lane, link: _Link, write: Write) -> None:
+        connection = link.connection
+        commands: list[tuple[Any, ...]] = [("SCRIPT", "LOAD", script.LUA)] if write.load else []
+        for op in write.ops:
+            commands += self._commands(op, write.plain)
+        await connection.send_packed_command(connection.pack_commands(commands), check_health=False)
+        if write.load:
+            await self._reply(connection)  # a store that turns it down says so again at the first statement
+        for op in write.ops:
+            result = await self._result(connection, op, write.plain)
+            if self._links.get(lane) is not link:
+                return
+            self.core.replied(now_ms(), lane, result)
+            self._act()
+
+    def _commands(self, op: Op, plain: bool) -> list[tuple[Any, ...]]:
+        key = self.core.key(op.name)
+        first: list[tuple[Any, ...]] = [("ASKING",)] if op.asking else []
+        if plain:
+            return [*first, ("MULTI",), ("HINCRBYFLOAT", key, script.TOTAL, f"{op.units:.9g}"),
+                    ("PEXPIRE", key, str(op.life_ms), "NX"), ("EXEC",)]
+        return [*first, ("EVALSHA", script.DIGEST, "1", key, self._door, str(op.version), f"{op.total:.17g}",
+                         str(op.life_ms))]
+
+    async def _result(self, connection: Connection, op: Op, plain: bool) -> Held | Fault:
+        if op.asking:
+            await self._reply(connection)
+        if not plain:
+            reply = await self._reply(connection)
+            return reply if isinstance(reply, Fault) else Held(float(reply[0]), int(reply[1]))
+        queued = [await self._reply(connection) for _ in range(3)]
+        done = await self._reply(connection)
+        fault = next((reply for reply in (*queued, done) if isinstance(reply, Fault)), None)
+        if fault is not None:
+            return fault
+        if isinstance(done[0], Exception):
+            return fault_of(done[0])
+        return Held(float(done[0]), -1)
+
+    @staticmethod
+    async def _reply(connection: Connection) -> Any:
+        """One reply; an error that the store answered with is a Fault."""
+        try:
+            return await connection.read_response()
+        except ResponseError as error:
+            return fault_of(error)
