--- a/martenstep/store/core.py
+++ b/martenstep/store/core.py
@@ -337,7 +337,7 @@
         for lane in self._lanes():
             if lane.out:
                 at = min(at, lane.since + self._options.timeout_ms,
-                         *(op.until for op in lane.out if op.call is not None))
+                         *(op.until for op in (*lane.out, *lane.again) if op.call is not None))
             if lane.queue:
                 at = min(at, lane.queue[0].until)
             if not lane.busy and (lane.queue or lane.restore):
@@ -476,7 +476,7 @@
         for op in batch:
             register = self._registers.setdefault(op.name, Register(now + SWEEP_MS))
             if not plain and not op.version:
-                if op.units:
+                if op.units or not register.version:  # who has only read has a register too: it proves a loss
                     self._version += 1
                     register.sum, register.version = register.sum + op.units, self._version
                 op.version, op.total = register.version, register.sum
@@ -569,7 +569,8 @@
             lane.again.append(op)
         elif op.call is not None:
             self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.FULL)
-        elif op.version:
+        register = self._registers.get(op.name)
+        if not turn and register is not None and register.version > register.acked:
             lane.rest_until = max(lane.rest_until, now + REST_MS)
             self._restate(op.name)
 
@@ -613,13 +614,16 @@
         """A connection is gone, and what was out with it is uncertain."""
         lane.ready = lane.opening = False
         plain = lane.node.plain or not self._options.scripts
+        for op in lane.out:
+            op.uncertain = True
         out = [*lane.again, *lane.out]
         lane.again.clear()
         lane.out.clear()
         for op in reversed(out):
-            op.uncertain = True
             op.asking = False
-            if plain or op.until <= now or op.call is None:
+            if not op.uncertain:
+                lane.queue.appendleft(op)
+            elif plain or op.until <= now or op.call is None:
                 self._drop(op, Verdict.TIMEOUT)
             else:
                 self.counts["sent again"] += 1
@@ -636,6 +640,9 @@
             if op.until <= now and op.call is not None:
                 self._tell(op.call, Verdict.TIMEOUT)
                 op.call = None
+        for op in [op for op in lane.again if op.until <= now]:
+            lane.again.remove(op)
+            self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.FULL)
         while lane.queue and lane.queue[0].until <= now:
             op = lane.queue.popleft()
             self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.FULL)
