--- a/martenstep/standins/redis/keyspace.py
+++ b/martenstep/standins/redis/keyspace.py
@@ -1,7 +1,8 @@
 """A Redis's contents and what each command does to them, from the public command pages: commands and a time in, replies
 out, no sockets.
 
-Of scripts it knows one alone, the one that the door ships, matched by its digest and run by its Python twin.
+Of scripts it knows the one that the door ships, matched by its digest and run by its Python twin, and those whose twins
+a test or a measurement brings.
 """
 
 from __future__ import annotations
@@ -34,6 +35,10 @@
 NO_AUTH = (b"HELLO", b"AUTH", b"QUIT")
 
 Value = bytes | dict[bytes, bytes]
+# What another's script does: reads a key, writes a key that lives for so many milliseconds (0: as it did), and its keys
+# and arguments.
+Twin = Callable[[Callable[[bytes], bytes | None], Callable[[bytes, bytes, float], None], list[bytes], list[bytes]],
+                "Reply"]
 
 
 def key_of(words: list[bytes]) -> bytes | None:
@@ -85,6 +90,7 @@
         self.offset = 0  # changes so far
         self.changed: Callable[[int, bytes, Value | None, float], None] | None = None  # for replicas
         self.scripts: set[str] = set()
+        self.twins: dict[str, Twin] = {}
         self.skew_ms = 0.0  # of the clock that things expire by
         self.max_bytes = 0  # none: no bound
         self.evicts = False  # at the bound, the key that was used longest ago goes; else writes are turned down
@@ -360,8 +366,8 @@
         what = words[1].upper()
         if what == b"LOAD" and len(words) == 3:
             digest = hashlib.sha1(words[2]).hexdigest()
-            if digest != script.DIGEST:
-                return ErrorReply("ERR the stand-in runs the project's own script alone")
+            if digest != script.DIGEST and digest not in self.twins:
+                return ErrorReply("ERR the stand-in does not know this script")
             self.scripts.add(digest)
             return digest.encode()
         if what == b"EXISTS":
@@ -378,7 +384,18 @@
     def _evalsha(self, session: Session, now: float, words: list[bytes]) -> Reply:
         if words[1].decode("latin-1").lower() not in self.scripts:
             return NO_SCRIPT
-        return self._state(session, now, words)
+        twin = self.twins.get(words[1].decode("latin-1").lower())
+        return self._state(session, now, words) if twin is None else self._twin(session, now, words, twin)
+
+    def _twin(self, session: Session, now: float, words: list[bytes], twin: Twin) -> Reply:
+        def get(key: bytes) -> bytes | None:
+            value = self._value(session, now, key)
+            return value if isinstance(value, bytes) else None
+
+        def put(key: bytes, value: bytes, life_ms: float) -> None:
+            self._put(session, key, value, now + life_ms if life_ms else self._expires(session, key))
+        count = int(words[2])
+        return twin(get, put, words[3:3 + count], words[3 + count:])
 
     def _state(self, session: Session, now: float, words: list[bytes]) -> Reply:
         if len(words) != 8 or words[2] != b"1":
--- a/martenstep/store/core.py
+++ b/martenstep/store/core.py
@@ -23,6 +23,7 @@
 
 import math
 import random
+from bisect import bisect_left
 from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
@@ -418,13 +419,24 @@
             # Its one trial is a statement of what it had, where there is any: no request waits for it.
             self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.CONNECT_FAILED)
         elif first:
-            lane.queue.appendleft(op)
+            self._insert(lane, op)
         elif len(lane.queue) + len(lane.out) >= self._options.waiting:
             self._drop(op, Verdict.FULL)
         else:
             if not lane.queue:
                 lane.first = now
-            lane.queue.append(op)
+            self._insert(lane, op)
+
+    @staticmethod
+    def _insert(lane: _Lane, op: Op) -> None:
+        """Keep the queue in the order in which the calls' times end; of equals, one that was sent before is first."""
+        queue = lane.queue
+        if not queue or op.until > queue[-1].until or (op.until == queue[-1].until and not op.turns + op.uncertain):
+            queue.append(op)
+        elif op.until <= queue[0].until:
+            queue.appendleft(op)
+        else:
+            queue.insert(bisect_left(queue, op.until, key=lambda other: other.until), op)
 
     def _newest(self, lane: _Lane) -> int | None:
         """The name of a lane that was answered last: a store that kept this one kept all that came before it."""
@@ -594,7 +606,7 @@
         if op.call is None:
             op.until = now + self._options.timeout_ms
         self.counts["asked elsewhere"] += 1
-        self._lane_of(op.name, self._node(fault.text.split()[2])).queue.appendleft(op)
+        self._insert(self._lane_of(op.name, self._node(fault.text.split()[2])), op)
 
     def _failed(self, now: float, lane: _Lane, error: str) -> None:
         node = lane.node
@@ -622,12 +634,12 @@
         for op in reversed(out):
             op.asking = False
             if not op.uncertain:
-                lane.queue.appendleft(op)
+                self._insert(lane, op)
             elif plain or op.until <= now or op.call is None:
                 self._drop(op, Verdict.TIMEOUT)
             else:
                 self.counts["sent again"] += 1
-                lane.queue.appendleft(op)
+                self._insert(lane, op)
 
     def _give_up(self, lane: _Lane, verdict: Verdict) -> None:
         """Nothing that waits at a lane has a way out."""
