--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -17,14 +17,17 @@
 from martenstep.lab import day_pb2 as pb
 from martenstep.standins.clients import Planned
 from martenstep.standins.photo import PhotoConfig, WorkOf
+from martenstep.store.slots import SLOTS
 
 DOOR_TROUBLES = (pb.DOOR_KILLED, pb.DOOR_ROLLED, pb.DOOR_CUT_FROM_FEED)
-STORE_TROUBLES = (pb.STORE_PAUSED, pb.STORE_EMPTIED, pb.STORE_SLOW, pb.STORE_DOWN, pb.COUNTER_KILLED)
+STORE_TROUBLES = (pb.STORE_PAUSED, pb.STORE_EMPTIED, pb.STORE_SLOW, pb.STORE_DOWN, pb.STORE_FAILOVER, pb.STORE_HANGS,
+                  pb.STORE_LOADING, pb.STORE_FULL, pb.STORE_CUTS, pb.STORE_SLOTS_MOVE, pb.COUNTER_KILLED)
 AUTH_TROUBLES = (pb.AUTH_SLOW, pb.AUTH_SILENT, pb.AUTH_ERRORS, pb.AUTH_RESETS, pb.AUTH_TWICE, pb.AUTH_BROKEN,
                  pb.AUTH_CONTRADICTS, pb.AUTH_DOWN, pb.AUTH_DRIPS)
 FEED_TROUBLES = (pb.FEED_STALE, pb.FEED_PARTIAL, pb.FEED_DOWN)
 LEAVES_BY = 0.1  # parts of the aim: a client that leaves does so while its request is on its way
 KINDS = ("standard", "slow")
+PRIMARY = "counts"  # as the stand-in's sentinels call it
 LONGEST_MS = 30 * 60_000.0
 
 
@@ -48,7 +51,7 @@
             check.fault(node.at("trouble"), "fits only a day with auth_services")
             return
     if event.trouble in STORE_TROUBLES + FEED_TROUBLES:
-        if event.trouble == pb.COUNTER_KILLED:
+        if event.trouble in (pb.COUNTER_KILLED, pb.STORE_SLOTS_MOVE):
             check.number(event, node, "count", 1, 10_000)
         if event.target:
             check.fault(node.at("target"), "is of use only for doors and servers")
@@ -59,6 +62,12 @@
     if event.trouble in STORE_TROUBLES and (event.trouble == pb.COUNTER_KILLED) != day.own_counter:
         check.fault(node.at("trouble"), "fits only a day with own_counter" if not day.own_counter
                     else "fits only a day without own_counter")
+    if event.trouble == pb.STORE_FAILOVER and day.store_topology == cfg.Store.ALONE:
+        check.fault(node.at("trouble"), "fits only a store with replicas: set store_topology")
+    if event.trouble == pb.STORE_SLOTS_MOVE:
+        if day.store_topology != cfg.Store.CLUSTER:
+            check.fault(node.at("trouble"), "fits only a cluster: set store_topology")
+        check.number(event, node, "count", 1, SLOTS)
     if event.trouble == pb.SERVER_CLASS_FAILS and not getattr(event, "class"):
         check.fault(node.at("class"), "missing")
     if event.trouble in (pb.STORE_PAUSED, pb.DOOR_KILLED, pb.DOOR_ROLLED, pb.COUNTER_KILLED) and not event.for_ms:
@@ -184,7 +193,13 @@
         door.counter.port, door.counter.timeout_ms = ports["store"], day.store_timeout_ms
         door.counter.journal = str(warm_copy.with_name(f"door-{number}.journal"))
     else:
-        door.store.port, door.store.timeout_ms = ports["store"], day.store_timeout_ms
+        door.store.timeout_ms = day.store_timeout_ms
+        if day.store_topology == cfg.Store.ALONE:
+            door.store.port = ports["store"]
+        else:
+            door.store.topology, door.store.primary_name = day.store_topology, PRIMARY
+            for name in sorted(name for name in ports if name.startswith("store-")):
+                door.store.node.add(port=ports[name])
     door.members.port, door.members.warm_copy = ports["feed"], str(warm_copy)
     door.upstream.CopyFrom(day.upstream)
     door.rules.CopyFrom(day.rules)
--- a/martenstep/lab/play.py
+++ b/martenstep/lab/play.py
@@ -143,6 +143,10 @@
     pb.AUTH_DRIPS: _share("auth", "drips"),
     pb.STORE_SLOW: _amount("store", "slow", "ms", 0.0),
     pb.STORE_DOWN: _switch("store", "down"),
+    pb.STORE_HANGS: _switch("store", "hang_writes"),
+    pb.STORE_LOADING: Steered("store", "error", lambda event: {"code": "LOADING"}, {"code": ""}),
+    pb.STORE_FULL: Steered("store", "memory", lambda event: {"bytes": 1}, {"bytes": 0}),
+    pb.STORE_CUTS: _share("store", "partial"),
     pb.FEED_STALE: _switch("feed", "stale"),
     pb.FEED_PARTIAL: _share("feed", "partial"),
     pb.FEED_DOWN: _switch("feed", "down"),
@@ -179,7 +183,9 @@
     def _store(self) -> Process:
         """Redis's stand-in, or the project's own counter service."""
         if not self._day.own_counter:
-            return self._process("redis", ["standin", "redis", "--trace", str(self._out / "redis.jsonl")])
+            kind = cfg.Store.Topology.Name(self._day.store_topology).lower()
+            return self._process("redis", ["standin", "redis", "--kind", kind,
+                                           "--trace", str(self._out / "redis.jsonl")])
         if not self._counter_port:
             [self._counter_port] = free_ports(1)
         file = self._out / "counter.txtpb"
@@ -223,6 +229,9 @@
     def _door(self, number: int) -> Process:
         ports = {"listener": self._door_ports[number], "admin": self._admin_ports[number],
                  "store": self._counter_port or self._redis.ready["port"], "feed": self._feed.ready["port"]}
+        if not self._counter_port:
+            nodes: Any = self._redis.ready["ports"]
+            ports.update({f"store-{number}": port for number, port in enumerate(nodes)})
         ports.update({f"auth-{service}": process.ready["port"] for service, process in self._auth.items()})
         door = door_settings(self._day, number, ports, (self._out / f"door-{number}.members.json").absolute())
         file = self._out / f"door-{number}.txtpb"
@@ -374,6 +383,14 @@
     async def _store_emptied(self, event: pb.Event, targets: list[int]) -> None:
         await self._steer("store", [], "restart")
 
+    async def _store_failover(self, event: pb.Event, targets: list[int]) -> None:
+        await self._steer("store", [], "failover", split_ms=event.for_ms)
+        await self._last(event)
+
+    async def _store_slots_move(self, event: pb.Event, targets: list[int]) -> None:
+        await self._steer("store", [], "move", slots=event.count, to=0, for_ms=event.for_ms)
+        await self._last(event)
+
     async def _counter_killed(self, event: pb.Event, targets: list[int]) -> None:
         for _ in range(event.count):
             await asyncio.sleep(event.for_ms / event.count / 1000)
--- a/martenstep/lab/report.py
+++ b/martenstep/lab/report.py
@@ -17,6 +17,7 @@
 from martenstep.lab.day import load_day
 from martenstep.lab.rules import (
     CHECKED,
+    COUNTED,
     RECORDED,
     REFUSED,
     RULES,
@@ -24,6 +25,7 @@
     Judge,
     Traffic,
     checked,
+    counted,
     gather,
     read_lines,
     recorded,
@@ -87,7 +89,8 @@
         day = load_day(folder / "day.txtpb")
     except Faults as error:
         raise TraceError(str(error)) from None
-    missing = [name for name in ("clients.jsonl", "feed.jsonl", "events.jsonl") if not (folder / name).exists()]
+    store = () if day.own_counter else ("redis.jsonl",)
+    missing = [name for name in ("clients.jsonl", "feed.jsonl", "events.jsonl", *store) if not (folder / name).exists()]
     if missing:
         raise TraceError(f"{folder}: no {', '.join(missing)}")
     servers = [line for path in sorted(folder.glob("server-*.jsonl")) for line in read_lines(path)]
@@ -102,12 +105,14 @@
         except (LogError, LockedError, OSError) as error:
             raise TraceError(f"{folder}: {error}") from None
         breaches += recorded(traffic, exported)
+    else:
+        breaches += counted(traffic, read_lines(folder / "redis.jsonl"), day.judge_slack_ms)
     guarded = day.HasField("auth_services")
     if guarded:
         verdicts = [line for path in sorted(folder.glob("auth-*.jsonl")) for line in read_lines(path)]
         breaches += checked(traffic, verdicts, day.judge_slack_ms)
     rules = {}
-    for rule in (*RULES, *([RECORDED] if day.own_counter else []), *([CHECKED] if guarded else [])):
+    for rule in (*RULES, RECORDED if day.own_counter else COUNTED, *([CHECKED] if guarded else [])):
         found = [breach for breach in breaches if breach.rule == rule]
         rules[rule] = {"kept": not found, "breaches": len(found),
                        "first": [msgspec.to_builtins(breach) for breach in found[:SHOWN]]}
--- a/martenstep/lab/rules.py
+++ b/martenstep/lab/rules.py
@@ -24,6 +24,7 @@
 
 ANSWERED, DOUBLE, DRAINS, COLD, CEILINGS = "answered", "no effect twice", "drains", "cold servers", "ceilings"
 RECORDED = "tries recorded"  # of a day with the project's own counter
+COUNTED = "adds counted"  # of a day with Redis
 CHECKED = "verdicts"  # of a day with authentication services
 RULES = (ANSWERED, DOUBLE, DRAINS, COLD, CEILINGS)
 REFUSED, SERVED_BELOW = (429, 503), 500
@@ -170,6 +171,48 @@
                          (tried.visits[0].at,))
 
 
+def counted(traffic: Traffic, store: Iterable[Line], slack: float) -> Iterable[Breach]:
+    """Each door's sum stands in the store exactly once: a total is what the doors' newest statements there add up to,
+    and at the end nothing that was stated is missing, unless the name has expired or the door was killed."""
+    at_node: dict[tuple[str, str], dict[str, float]] = defaultdict(dict)  # by node and key: each door's sum
+    ends: dict[tuple[str, str], float] = {}
+    newest: dict[tuple[str, str], tuple[int, float, float, float]] = {}  # by key and door: version, sum, until, at
+    held: dict[str, dict[str, str]] = {}
+    end, trusted = 0.0, True
+    for line in sorted(store, key=lambda line: line["t"]):
+        end = max(end, line["t"])
+        if line["what"] == "control":
+            # Contents may have come from elsewhere, or gone: what a node holds is known from its own lines no more.
+            trusted = trusted and line["do"] not in ("failover", "move", "memory")
+            if line["do"] in ("empty", "restart"):
+                at_node.clear()
+        elif line["what"] == "stated":
+            where = line["node"], line["key"]
+            if ends.get(where, math.inf) <= line["t"]:
+                at_node[where].clear()  # it had expired
+            sums, ends[where] = at_node[where], line["until"]
+            sums[line["door"]] = line["sum"]
+            if trusted and abs(sum(sums.values()) - line["total"]) > 1e-6:
+                yield Breach(COUNTED, f"{line['key']} holds {line['total']:g}, and its doors stated "
+                                      f"{sum(sums.values()):g}", times=(line["t"],))
+            known = newest.get((line["key"], line["door"]))
+            if known is None or line["version"] >= known[0]:
+                newest[line["key"], line["door"]] = line["version"], line["sum"], line["until"], line["t"]
+        elif line["what"] == "held":
+            held[line["key"]] = line["fields"]
+    for key, fields in held.items():
+        total = sum(float(value.split(" ")[1]) for name, value in fields.items() if name != "t")
+        if abs(total - float(fields["t"])) > 1e-6:
+            yield Breach(COUNTED, f"at the end {key} holds {fields['t']}, and its doors' sums are {total:g}")
+    killed = {f"door-{door}" for door in (*traffic.down, *traffic.rolled)}
+    for (key, door), (version, own, until, at) in newest.items():
+        if until <= end + slack or door.split(":")[0] in killed:
+            continue
+        found = held.get(key, {}).get(door, "0 0").split(" ")
+        if int(found[0]) < version:
+            yield Breach(COUNTED, f"{door} stated {own:g} for {key}, and at the end it holds {found[1]}", times=(at,))
+
+
 def checked(traffic: Traffic, verdicts: Iterable[Line], slack: float) -> Iterable[Breach]:
     """Nothing at a server without a positive verdict on that request's credential: given before it came, and no
     longer ago than the request's own time and the time that the service let it be kept.  And nothing under another
--- a/martenstep/standins/redis/fleet.py
+++ b/martenstep/standins/redis/fleet.py
@@ -82,7 +82,6 @@
         self._owner = [slot * count // SLOTS for slot in range(SLOTS)]  # pair by slot
         self._moving: dict[int, int] = {}  # slots under way, and to which pair
         self._tasks: set[asyncio.Task[None]] = set()
-        self._told_down = False
         for server in self.servers:
             server.outside = self._answer(server)
         for sentinel in self.sentinels:
@@ -109,6 +108,8 @@
         """Stop all."""
         for task in self._tasks:
             task.cancel()
+        for pair in self.pairs:
+            pair.primary.tell_contents()
         for server in [*self.servers, *self.sentinels]:
             await server.stop()
 
--- a/martenstep/standins/redis/keyspace.py
+++ b/martenstep/standins/redis/keyspace.py
@@ -99,6 +99,8 @@
         self._since_sweep = 0
         self.commands = 0
         self.told: Callable[[bytes, bytes, bytes], None] | None = None  # each add: key, amount, total
+        # Each statement that changed something: key, door, version, the door's sum, total, and the key's end.
+        self.stated: Callable[[bytes, bytes, int, float, float, float], None] | None = None
         self._table: dict[bytes, tuple[int, Callable[[Session, float, list[bytes]], Reply]]] = {
             b"PING": (-1, self._ping), b"ECHO": (2, lambda s, n, a: a[1]), b"GET": (2, self._get),
             b"SET": (-3, self._set), b"DEL": (-2, self._del), b"PTTL": (2, self._pttl), b"TTL": (2, self._ttl),
@@ -405,7 +407,6 @@
         if fields is None:
             return WRONG_TYPE
         try:
-            before = float(fields.get(script.TOTAL, b"0"))
             version, own, life = int(words[5]), float(words[6]), int(words[7])
             total, found, changed = script.state(fields, door, version, own)
         except ValueError:
@@ -413,8 +414,8 @@
         if changed:
             expires = self._expires(session, key)
             self._put(session, key, fields, now + life if expires == math.inf else expires)
-            if self.told is not None:
-                self.told(key, b"%.17g" % (total - before), b"%.17g" % total)
+            if self.stated is not None:
+                self.stated(key, door, version, own, total, self._expires(session, key))
         return [b"%.17g" % total, str(found).encode()]
 
     def _role(self, session: Session, now: float, words: list[bytes]) -> Reply:
--- a/martenstep/standins/redis/server.py
+++ b/martenstep/standins/redis/server.py
@@ -35,6 +35,7 @@
         self.name = name
         self.keyspace = Keyspace()
         self.keyspace.told = self._added
+        self.keyspace.stated = self._stated
         self.outside: Outside | None = None  # commands that a topology answers, and redirections
         self._paused_until = 0.0
         self._slow_ms = 0.0
@@ -70,6 +71,17 @@
     def _added(self, key: bytes, amount: bytes, total: bytes) -> None:
         self._trace.write("add", key=key.decode("latin-1"), amount=float(amount), total=float(total), node=self.name)
 
+    def _stated(self, key: bytes, door: bytes, version: int, own: float, total: float, until: float) -> None:
+        self._trace.write("stated", key=key.decode("latin-1"), door=door.decode("latin-1"), version=version, sum=own,
+                          total=total, until=until, node=self.name)
+
+    def tell_contents(self) -> None:
+        """What each name holds, into the trace."""
+        for _, key, value, _ in self.keyspace.contents():
+            if isinstance(value, dict):
+                self._trace.write("held", key=key.decode("latin-1"), node=self.name, fields={
+                    name.decode("latin-1"): held.decode("latin-1") for name, held in value.items()})
+
     def _steered(self, do: str, words: dict[str, Any]) -> dict[str, Any] | None:
         keys = self.keyspace
         if do == "pause":
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -15,6 +15,7 @@
     CEILINGS,
     CHECKED,
     COLD,
+    COUNTED,
     DOUBLE,
     DRAINS,
     RECORDED,
@@ -308,14 +309,14 @@
     story.visit(1100, 1105, attempt=1, server=2)
     (tmp_path / "day.txtpb").write_text(DAY)
     for name, lines in (("clients", story.clients), ("server-0", story.servers), ("feed", story.feed),
-                        ("events", story.events)):
+                        ("events", story.events), ("redis", [])):
         text = "".join(json.dumps(line) + "\n" for line in lines)
         (tmp_path / f"{name}.jsonl").write_text(text + '{"t": 5, "wh')  # cut off by a kill
     result = report.judge_folder(tmp_path)
     assert result["kept"] is False and result["rules"][ANSWERED]["breaches"] == 1
     assert result["rules"][CEILINGS]["kept"] and result["figures"]["attempts"] == 2
     assert result["figures"]["served"] == 1 and result["figures"]["p50_ms"] == 60
-    assert "BROKEN 1 times" in report.table(result)
+    assert "BROKEN 1 times" in report.table(result) and result["rules"][COUNTED]["kept"]
     report.write_result(tmp_path, result)
     assert json.loads((tmp_path / "result.json").read_text())["kept"] is False
 
@@ -326,7 +327,7 @@
     (tmp_path / "day.txtpb").write_text(DAY)
     with pytest.raises(report.TraceError, match=r"clients\.jsonl"):
         report.judge_folder(tmp_path)
-    for name in ("clients", "feed", "events"):
+    for name in ("clients", "feed", "events", "redis"):
         (tmp_path / f"{name}.jsonl").write_text("")
     with pytest.raises(report.TraceError, match="no request"):
         report.judge_folder(tmp_path)
