--- a/martenstep/standins/redis/keyspace.py
+++ b/martenstep/standins/redis/keyspace.py
@@ -107,7 +107,7 @@
             b"EXISTS": (-2, self._exists), b"INFO": (-1, self._info), b"CLIENT": (-2, self._client),
             b"HELLO": (-1, self._hello), b"SELECT": (2, self._select), b"DBSIZE": (1, self._dbsize),
             b"FLUSHALL": (-1, self._flushall), b"INCRBYFLOAT": (3, self._incrbyfloat),
-            b"INCRBY": (3, self._incrby), b"PEXPIRE": (-3, self._pexpire), b"COMMAND": (-1, lambda s, n, a: []),
+            b"INCRBY": (3, self._incrby), b"PEXPIRE": (-3, self._pexpire), b"COMMAND": (-1, self._command),
             b"QUIT": (-1, lambda s, n, a: OK), b"TYPE": (2, self._type), b"AUTH": (-2, self._auth),
             b"HGET": (3, self._hget), b"HSET": (-4, self._hset), b"HGETALL": (2, self._hgetall),
             b"HINCRBYFLOAT": (4, self._hincrbyfloat), b"EVALSHA": (-3, self._evalsha), b"EVAL": (-3, self._eval),
@@ -418,6 +418,17 @@
                 self.stated(key, door, version, own, total, self._expires(session, key))
         return [b"%.17g" % total, str(found).encode()]
 
+    def _command(self, session: Session, now: float, words: list[bytes]) -> Reply:
+        """Name, arity, flags and places of the keys; a cluster's client finds the slot by it."""
+        listed: list[Reply] = []
+        for name, (arity, _) in self._table.items():
+            first = FIRST_KEY.get(name, 0) % 3  # a script's keys are counted in its words, not placed
+            flags: list[Reply] = [Simple("write" if name in WRITES else "readonly")]
+            if name in (b"EVAL", b"EVALSHA"):
+                flags.append(Simple("movablekeys"))
+            listed.append([name.lower(), arity, flags, first, first, first, [], [], [], []])
+        return listed
+
     def _role(self, session: Session, now: float, words: list[bytes]) -> Reply:
         if self.replica:
             return [b"slave", b"127.0.0.1", 0, b"connected", self.offset]
