Store: tests of a fleet that reconnects at once, failovers mid-pipeline, expiry lost and too early, slow names, TLS

Six more of the hard cases, on sockets: 380 doors that lose their connections in the same moment (760 adds counted once each), failovers while pipelines are out, names that lost their end (given one by the next statement), a store whose clock runs ahead, names that are slow, TLS with a host that is not the certificate's.

--- a/martenstep/standins/base.py
+++ b/martenstep/standins/base.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import socket
+import ssl
 import struct
 import sys
 import time
@@ -121,11 +122,12 @@
         self._server: asyncio.Server | None = None
         self._writers: dict[asyncio.StreamWriter, str] = {}  # and who is behind each, where that is told
         self._down = False
+        self.tls: ssl.SSLContext | None = None
         self._shares: dict[str, float] = {}  # of its answers, by the way that they go wrong
 
     async def start(self) -> int:
         """Bind; gives the port."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", self._port, backlog=BACKLOG)
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", self._port, backlog=BACKLOG, ssl=self.tls)
         self._port = int(self._server.sockets[0].getsockname()[1])
         return self._port
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -19,8 +20,9 @@
 from martenstep.standins.redis.fleet import ALONE, CLUSTER, SENTINEL, Fleet
 from martenstep.standins.redis.keyspace import Session, User
 from martenstep.standins.redis.server import RedisServer
-from martenstep.store.redis_store import RedisStore
+from martenstep.store.redis_store import RedisStore, now_ms
 from tests.socket_rig import run
+from tests.test_tls import Issuer
 
 
 @asynccontextmanager
@@ -418,3 +420,103 @@
             fleet.failover(0)
             assert (await made.until_good(1, 1))[1] == made.added(1)
     run(test())
+
+
+def test_a_failover_in_the_middle_of_pipelines_loses_and_doubles_nothing() -> None:
+    async def test() -> None:
+        async with many(SENTINEL, doors=2, lag_ms=60_000.0) as (fleet, desks):
+            for turn in range(6):
+                for made in desks:
+                    for name in range(80):
+                        made.add(name, 1)
+                await asyncio.sleep(0.002 * turn)
+                fleet.failover(0)
+                for made in desks:
+                    await made.all()
+            for made in desks:
+                for name in range(80):
+                    await made.until_good(name, 1)
+            for name in range(80):
+                await held(fleet, name, sum(made.added(name) for made in desks))
+    run(test())
+
+
+def test_a_whole_fleet_that_loses_its_connections_at_once_finds_its_way_back() -> None:
+    async def test() -> None:
+        async with server() as (redis_, port):
+            desks = [Desk(port, connections=1, timeout_ms=8000.0) for _ in range(380)]
+            for made in desks:
+                made.store.start()
+                made.add(1)
+            for made in desks:
+                await made.all()
+            assert total_of(redis_, 1) == 380.0
+            first = len(redis_.accepted)
+            redis_.control("drop", {})
+            for made in desks:
+                made.add(1)
+            for made in desks:
+                await made.all()
+            assert total_of(redis_, 1) == sum(made.added(1) for made in desks) == 760.0
+            assert first == 380 and len(redis_.accepted) - first >= 380
+            await asyncio.gather(*(made.store.stop() for made in desks))
+    run(test())
+
+
+def test_names_that_would_stay_for_good_are_given_an_end_again() -> None:
+    async def test() -> None:
+        async with desk(connections=1) as (made, redis_):
+            await made.until_good(1, 1)
+            redis_.control("lose_expiry", {})
+            ttl = [b"PTTL", b"mstep:1"]
+            assert redis_.keyspace.run(Session(0), 0, ttl) == -1
+            await made.until_good(1, 1)
+            left = redis_.keyspace.run(Session(0), now_ms(), ttl)
+            assert isinstance(left, int) and 0 < left <= 60_000
+    run(test())
+
+
+def test_names_that_expire_too_early_by_the_stores_clock_are_stated_again() -> None:
+    async def test() -> None:
+        async with desk(connections=1) as (made, redis_):
+            for name in range(5):
+                await made.until_good(name, 3)
+            redis_.control("skew", {"ms": 1e9})
+            for name in range(5):
+                assert (await made.until_good(name, 1))[1] == made.added(name) >= 4
+    run(test())
+
+
+def test_names_that_are_slow_cost_no_other_connection_its_answers() -> None:
+    async def test() -> None:
+        async with desk(connections=2, timeout_ms=400.0) as (made, redis_):
+            redis_.control("slow_names", {"share": 0.2, "ms": 150})
+            numbers = [made.add(name) for name in range(40)]
+            await made.all()
+            redis_.control("slow_names", {"share": 0.0})
+            for name in range(40):
+                await made.until_good(name, 1)
+            assert len(numbers) == 40
+            assert [total_of(redis_, name) for name in range(40)] == [made.added(name) for name in range(40)]
+    run(test())
+
+
+def test_tls_and_a_host_that_is_not_the_certificates(tmp_path: Path) -> None:
+    issuer = Issuer(tmp_path)
+    certificate, key = issuer.issue("redis", "localhost")
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(certificate, key)
+
+    async def test() -> None:
+        redis_ = RedisServer(Trace(None))
+        redis_.tls = context
+        port = await redis_.start()
+        for host, good in (("localhost", True), ("127.0.0.1", False)):
+            made = Desk(port, connections=1, host=host, timeout_ms=1000.0, tls=pb.ClientTls(ca=issuer.file))
+            made.store.start()
+            number = made.add(1)
+            await made.all()
+            assert (made.answers[number][0] is Verdict.OK) is good
+            await made.store.stop()
+        await redis_.stop()
+    run(test())
