martenstep hook check, fmt, run, test, bench; comments are kept by the formatter or told of

Staff check, format, try, test and measure a hook from the command line; faults come with their line and a mark under the place, exit 2 for what cannot be read, 1 for a test that does not hold or a hook that fails. An example is JSON, checked field by field.

--- /dev/null
+++ b/martenstep/cli/hooks.py
@@ -0,0 +1,199 @@
+"""`martenstep hook`: check, format, run, test and measure hooks."""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from martenstep.cli.words import example
+from martenstep.hooks.code import Program, compile_source
+from martenstep.hooks.fmt import format_file
+from martenstep.hooks.syntax import HookFault, parse
+from martenstep.hooks.types import POINTS, RECORDS, Type
+from martenstep.hooks.vm import BYTES, STEPS, HookError, Machine
+
+FILE = click.Path(path_type=Path)
+ROUNDS = 2000  # of `hook bench`
+ZERO: dict[str, Any] = {"number": 0.0, "duration": 0.0, "text": "", "bool": False}
+
+
+def _source(file: Path) -> str:
+    try:
+        return file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise click.UsageError(f"{file}: {getattr(error, 'strerror', None) or error}") from None
+
+
+def _compiled(file: Path) -> Program:
+    source = _source(file)
+    try:
+        return compile_source(source)
+    except HookFault as fault:
+        click.echo(fault.shown(source, str(file)), err=True)
+        sys.exit(2)
+
+
+def value_of(kind: Type, given: Any, where: str) -> Any:
+    """A value of a type out of JSON; what is missing is nothing.  Raises ValueError."""
+    if kind.name == "list":
+        if not isinstance(given, list):
+            raise ValueError(f"{where}: expected a list")
+        assert kind.of is not None
+        return [value_of(kind.of, one, f"{where}[{number}]") for number, one in enumerate(given)]
+    if kind in RECORDS:
+        if not isinstance(given, dict):
+            raise ValueError(f"{where}: expected fields")
+        odd = given.keys() - {name for name, _ in RECORDS[kind]}
+        if odd:
+            raise ValueError(f"{where}: no field {sorted(odd)[0]!r}")
+        return tuple(value_of(of, given.get(name, [] if of.name == "list" else ZERO.get(of.name)), f"{where}.{name}")
+                     for name, of in RECORDS[kind])
+    wanted = {"text": str, "bool": bool}.get(kind.name, float)
+    if wanted is float and isinstance(given, int) and not isinstance(given, bool):
+        given = float(given)
+    if not isinstance(given, wanted):
+        raise ValueError(f"{where}: expected a {kind}, got {given!r}")
+    return given
+
+
+def told(kind: Type, value: Any) -> Any:
+    """A value of a type as JSON."""
+    if kind.name == "list":
+        assert kind.of is not None
+        return [told(kind.of, one) for one in value]
+    if kind in RECORDS:
+        return {name: told(of, one) for (name, of), one in zip(RECORDS[kind], value, strict=True)}
+    return value
+
+
+def _point(program: Program, point: str, file: Path) -> str:
+    found = [point] if point else list(program.points)
+    if len(found) != 1 or found[0] not in program.points:
+        listed = ", ".join(program.points) or "none"
+        raise click.UsageError(f"{file}: name one point with --point (there are: {listed})")
+    return found[0]
+
+
+def _given(point: str, file: Path | None) -> tuple[Any, ...]:
+    """The point's values from a JSON object: its fields are the records' names in small letters."""
+    kinds = POINTS[point][0]
+    held: Any = {}
+    try:
+        if file is not None:
+            held = msgspec.json.decode(file.read_bytes())
+        if not isinstance(held, dict):
+            raise ValueError("expected an object")
+        odd = held.keys() - {kind.name.lower() for kind in kinds}
+        if odd:
+            raise ValueError(f"no value {sorted(odd)[0]!r} (there are: {', '.join(k.name.lower() for k in kinds)})")
+        return tuple(value_of(kind, held.get(kind.name.lower(), {}), kind.name.lower()) for kind in kinds)
+    except OSError as error:
+        raise click.UsageError(f"{file}: {error.strerror}") from None
+    except (ValueError, msgspec.DecodeError) as error:
+        raise click.UsageError(f"{file}: {error}") from None
+
+
+@click.group("hook")
+def hook() -> None:
+    """Hooks: check, format, run, test and measure them."""
+
+
+@hook.command("check", epilog=example("martenstep hook check hooks/*.hook"))
+@click.argument("files", type=FILE, nargs=-1, required=True)
+def check(files: tuple[Path, ...]) -> None:
+    """Tell what is wrong with FILES, or what they hold."""
+    for file in files:
+        program = _compiled(file)
+        click.echo(f"{file}: good; points: {', '.join(program.points) or 'none'}; {len(program.tests)} tests")
+
+
+@hook.command("fmt", epilog=example("martenstep hook fmt --check hooks/*.hook"))
+@click.argument("files", type=FILE, nargs=-1, required=True)
+@click.option("--check", "only", is_flag=True, help="Change nothing; exit 1 where something would change.")
+def fmt(files: tuple[Path, ...], only: bool) -> None:
+    """Write FILES in the usual form."""
+    changed = False
+    for file in files:
+        source = _source(file)
+        try:
+            made = format_file(parse(source))
+        except HookFault as fault:
+            click.echo(fault.shown(source, str(file)), err=True)
+            sys.exit(2)
+        if made != source:
+            changed = True
+            click.echo(f"{file}: {'would change' if only else 'written'}")
+            if not only:
+                aside = file.with_name(file.name + ".new")
+                aside.write_text(made, encoding="utf-8")
+                aside.replace(file)
+    sys.exit(1 if only and changed else 0)
+
+
+@hook.command("run", epilog=example("martenstep hook run words.hook --request example.json"))
+@click.argument("file", type=FILE)
+@click.option("--point", default="", help="Which hook of the file, where it holds several.")
+@click.option("--request", "request", type=FILE, default=None, help="JSON of what the point is given.")
+def run(file: Path, point: str, request: Path | None) -> None:
+    """Run one hook of FILE on an example and tell what it gives and costs."""
+    program = _compiled(file)
+    point = _point(program, point, file)
+    machine = Machine(program)
+    try:
+        made = machine.run(program.points[point], _given(point, request))
+    except HookError as error:
+        click.echo(f"{file}: {point}: {error}", err=True)
+        sys.exit(1)
+    click.echo(msgspec.json.format(msgspec.json.encode(told(POINTS[point][1], made)), indent=2).decode())
+    click.echo(f"{STEPS - machine.steps} of {STEPS} steps, {BYTES - machine.bytes} of {BYTES} bytes", err=True)
+
+
+@hook.command("test", epilog=example("martenstep hook test hooks/*.hook"))
+@click.argument("files", type=FILE, nargs=-1, required=True)
+def test(files: tuple[Path, ...]) -> None:
+    """Run the tests that stand in FILES."""
+    failed = count = 0
+    for file in files:
+        program = _compiled(file)
+        for title, number in program.tests:
+            count += 1
+            try:
+                good, why = Machine(program).run(number, ()) is True, "false"
+            except HookError as error:
+                good, why = False, str(error)
+            if not good:
+                failed += 1
+                click.echo(f"{file}: test {title!r}: {why}")
+    click.echo(f"{count - failed} held, {failed} did not")
+    sys.exit(1 if failed or not count else 0)
+
+
+@hook.command("bench", epilog=example("martenstep hook bench words.hook --point refusal"))
+@click.argument("file", type=FILE)
+@click.option("--point", default="", help="Which hook of the file, where it holds several.")
+@click.option("--request", "request", type=FILE, default=None, help="JSON of what the point is given.")
+def bench(file: Path, point: str, request: Path | None) -> None:
+    """Tell what one run of a hook costs on this machine."""
+    program = _compiled(file)
+    point = _point(program, point, file)
+    given = _given(point, request)
+    took = []
+    steps = 0
+    try:
+        for _ in range(ROUNDS):
+            machine = Machine(program)
+            begin = time.perf_counter()
+            machine.run(program.points[point], given)
+            took.append((time.perf_counter() - begin) * 1e6)
+            steps = STEPS - machine.steps
+    except HookError as error:
+        click.echo(f"{file}: {point}: {error}", err=True)
+        sys.exit(1)
+    took.sort()
+    click.echo(f"{steps} steps; median {took[ROUNDS // 2]:.1f} us, p99 {took[ROUNDS * 99 // 100]:.1f} us; "
+               f"{steps / took[ROUNDS // 2]:.2f} steps a us")
--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -16,6 +16,8 @@
 import click
 import msgspec
 
+from martenstep.cli.hooks import hook
+from martenstep.cli.words import example as _example
 from martenstep.config.settings import load_door
 from martenstep.config.text import Faults
 
@@ -29,10 +31,6 @@
     sys.exit(USAGE)
 
 
-def _example(text: str) -> str:
-    return f"\b\nExample:\n  {text}"
-
-
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="martenstep")
 def cli() -> None:
@@ -406,6 +404,9 @@
             self._bar.render_finish()
 
 
+cli.add_command(hook)
+
+
 def main() -> None:
     """Entry point."""
     cli(prog_name="martenstep")
--- a/martenstep/hooks/fmt.py
+++ b/martenstep/hooks/fmt.py
@@ -1,5 +1,5 @@
-"""Writes a hook's tree in the one usual form; reading that gives the tree again.  Comments are kept in front of what
-they stand before on the outermost level; others are told, not lost."""
+"""Writes a hook's tree in the one usual form; reading that gives the tree again.  Comments between functions, hooks and
+tests are kept; one inside of them has no place in the form, and is told of, not lost."""
 
 from __future__ import annotations
 
@@ -105,10 +105,30 @@
 
 
 def format_file(made: syn.File) -> str:
-    """A whole file, in the order functions, hooks, tests."""
-    write = _Writer()
-    parts = [f"fn {one.name}({', '.join(f'{name}: {type_name(kind)}' for name, kind in one.params)}) -> "
-             f"{type_name(one.gives)} {write.block(one.body, 0)}\n" for one in made.functions]
-    parts += [f"on {one.point}({', '.join(one.params)}) {write.block(one.body, 0)}\n" for one in made.hooks]
-    parts += [f'test "{text(one.title)}" {write.block(one.body, 0)}\n' for one in made.tests]
+    """A whole file, in its order; raises HookFault on a comment that would be lost."""
+    drawn: list[syn.Function | syn.Hook | syn.Test] = [*made.functions, *made.hooks, *made.tests]
+    items = made.items or [(one, one.place) for one in drawn]  # a tree that was not read has no order
+    left = list(made.comments)
+    parts = []
+    for one, end in items:
+        above = ""
+        while left and left[0][0] < one.place:
+            above += left.pop(0)[1] + "\n"
+        if left and left[0][0] < end:
+            raise syn.HookFault(left[0][0], "a comment inside a block: put it above the function, hook or test")
+        parts.append(above + _item(one))
+    if left:
+        parts.append("".join(comment + "\n" for _, comment in left))
     return "\n".join(parts)
+
+
+def _item(one: syn.Function | syn.Hook | syn.Test) -> str:
+    write = _Writer()
+    match one:
+        case syn.Function():
+            params = ", ".join(f"{name}: {type_name(kind)}" for name, kind in one.params)
+            return f"fn {one.name}({params}) -> {type_name(one.gives)} {write.block(one.body, 0)}\n"
+        case syn.Hook():
+            return f"on {one.point}({', '.join(one.params)}) {write.block(one.body, 0)}\n"
+        case syn.Test():
+            return f'test "{text(one.title)}" {write.block(one.body, 0)}\n'
--- a/martenstep/hooks/syntax.py
+++ b/martenstep/hooks/syntax.py
@@ -43,7 +43,7 @@
                    r"|(?P<name>[A-Za-z_]\w*)|(?P<sign>->|==|!=|<=|>=|[-+*/%<>=(){}\[\],;:.|])", re.ASCII)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class Place:
     """A place in a source, from 1 on."""
 
@@ -263,6 +263,9 @@
     functions: list[Function]
     hooks: list[Hook]
     tests: list[Test]
+    # As they stand in the source, each with where it ends; and the comments.
+    items: list[tuple[Function | Hook | Test, Place]] = field(default_factory=list, compare=False, repr=False)
+    comments: list[tuple[Place, str]] = field(default_factory=list, compare=False, repr=False)
 
 
 # Words ----------------------------------------------------------------------------------------------------
@@ -271,6 +274,7 @@
 class _Words:
     def __init__(self, source: str) -> None:
         self._source, self._at, self._line, self._begins = source, 0, 1, 0
+        self.comments: list[tuple[Place, str]] = []
 
     def _place(self) -> Place:
         return Place(self._line, self._at - self._begins + 1)
@@ -294,7 +298,9 @@
                 return [*found, Token("end", "", place)]
             braces += (text == "{") - (text == "}")
             self._step(match.end())
-            if match.lastgroup in ("space", "comment"):
+            if match["comment"] is not None:
+                self.comments.append((place, text.rstrip()))
+            if match["comment"] is not None or match["space"] is not None:
                 continue
             if match["number"] is not None:
                 found.append(self._number(match, place))
@@ -392,26 +398,31 @@
         made = File([], [], [])
         while self._next.kind != "end":
             place = self._next.place
+            item: Function | Hook | Test
             if self._is("fn"):
                 self._take()
                 name = self._name("the function's name")
                 params = self._list("(", ")", self._param)
                 self._expect("->")
-                made.functions.append(Function(name, params, self._type(), self._block(), place=place))
+                item = Function(name, params, self._type(), self._block(), place=place)
+                made.functions.append(item)
             elif self._is("on"):
                 self._take()
                 name = self._name("the point's name")
                 names = self._list("(", ")", lambda: self._name("a name"))
-                made.hooks.append(Hook(name, names, self._block(), place=place))
+                item = Hook(name, names, self._block(), place=place)
+                made.hooks.append(item)
             elif self._is("test"):
                 self._take()
                 title = self._next
                 if title.kind != "text" or len(title.parts) != 1:
                     raise HookFault(title.place, f"expected the test's title as a plain text, got {self._got()}")
                 self._take()
-                made.tests.append(Test(str(title.parts[0]), self._block(), place=place))
+                item = Test(str(title.parts[0]), self._block(), place=place)
+                made.tests.append(item)
             else:
                 raise HookFault(place, f"expected 'fn', 'on' or 'test', got {self._got()}")
+            made.items.append((item, self._words[self._at - 1].place))
         return made
 
     def _param(self) -> tuple[str, TypeName]:
@@ -622,4 +633,7 @@
     """A source's tree; raises HookFault."""
     if len(source.encode("utf-8", "surrogatepass")) > MOST_BYTES:
         raise HookFault(Place(1, 1), f"expected no more than {MOST_BYTES} bytes")
-    return _Parser(_Words(source).words()).file()
+    words = _Words(source)
+    made = _Parser(words.words()).file()
+    made.comments = words.comments
+    return made
--- /dev/null
+++ b/tests/test_hooks_cli.py
@@ -0,0 +1,88 @@
+"""`martenstep hook`, as staff use it."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from martenstep.cli.main import cli
+
+GOOD = '''# Words for the studios.
+fn words(r: Request) -> text {
+  match r.language {
+    "de" | "at" -> "Zu viel auf einmal",
+    _ -> "Too much at once",
+  }
+}
+
+on refusal(r, why) {
+  Words { body: "${words(r)}: ${why.retry_after}", content_type: "text/plain" }
+}
+
+test "german" {
+  words(Request { language: "de" }) == "Zu viel auf einmal"
+}
+'''
+
+
+def call(*words: str) -> tuple[int, str]:
+    result = CliRunner().invoke(cli, ["hook", *words])
+    assert result.exception is None or isinstance(result.exception, SystemExit), result.exception
+    return result.exit_code, result.output
+
+
+def test_a_good_file_is_checked_tested_run_and_measured(tmp_path: Path) -> None:
+    file, example = tmp_path / "a.hook", tmp_path / "e.json"
+    file.write_text(GOOD)
+    example.write_text(json.dumps({"request": {"language": "at"}, "refusal": {"status": 429, "retry_after": 2500}}))
+    assert call("check", str(file)) == (0, f"{file}: good; points: refusal; 1 tests\n")
+    assert call("test", str(file)) == (0, "1 held, 0 did not\n")
+    code, output = call("run", str(file), "--request", str(example))
+    assert code == 0 and '"body": "Zu viel auf einmal: 2.5s"' in output and "of 10000 steps" in output
+    code, output = call("bench", str(file))
+    assert code == 0 and "steps; median" in output
+
+
+def test_the_usual_form_keeps_comments_and_stands_by_itself(tmp_path: Path) -> None:
+    file = tmp_path / "a.hook"
+    file.write_text(GOOD.replace("  ", "      ") + "# The end.")
+    assert call("fmt", "--check", str(file)) == (1, f"{file}: would change\n")
+    assert call("fmt", str(file)) == (0, f"{file}: written\n")
+    assert file.read_text() == GOOD + "\n# The end.\n"
+    assert call("fmt", "--check", str(file)) == (0, "")
+    inside = GOOD.replace("  match", "  # by language\n  match")
+    file.write_text(inside)
+    code, output = call("fmt", str(file))
+    assert code == 2 and "a comment inside a block" in output and file.read_text() == inside
+
+
+@pytest.mark.parametrize(("source", "words", "code", "told"), [
+    ("on refusal(r, w) { 3 }", ("check",), 2, "1:20: expected Words, got number"),
+    ('test "t" { 1 == 2 }', ("test",), 1, "test 't': false"), ('test "t" { 1 / 0 == 2 }', ("test",), 1, "number"),
+    ("", ("test",), 1, "0 held"), ("", ("run",), 2, "name one point"),
+    ("on log(r, a) { [][0] }", ("check",), 2, "expected a list"),
+    ("on log(r, a) { [Field { name: text(1 / 0) }] }", ("run",), 1, "divided by nothing"),
+])
+def test_what_is_wrong_is_told(source: str, words: tuple[str, ...], code: int, told: str, tmp_path: Path) -> None:
+    file = tmp_path / "a.hook"
+    file.write_text(source)
+    got, output = call(*words, str(file))
+    assert got == code and told in output
+
+
+@pytest.mark.parametrize(("example", "told"), [
+    ("{", "e.json"), ("[]", "expected an object"), ('{"reqest": {}}', "no value 'reqest'"),
+    ('{"request": {"pth": ""}}', "request: no field 'pth'"),
+    ('{"request": {"path": 3}}', "request.path: expected a text"),
+    ('{"request": {"headers": [{"name": 1}]}}', "request.headers[0].name: expected a text"),
+])
+def test_an_example_that_is_none_is_told(example: str, told: str, tmp_path: Path) -> None:
+    file, given = tmp_path / "a.hook", tmp_path / "e.json"
+    file.write_text(GOOD)
+    given.write_text(example)
+    code, output = call("run", str(file), "--request", str(given))
+    assert code == 2 and told in output
+    assert call("check", str(tmp_path / "none"))[0] == 2
