Hooks: a runner that keeps what goes wrong in a hook from its request, with a breaker for each

A hook that runs out, fails, gives what may not pass or is handed what it does not expect leaves the point's default; it is counted, told of three times a window, and left alone for 30 s after ten failures in ten seconds, with one run as its trial.

--- /dev/null
+++ b/tests/test_hooks_runner.py
@@ -0,0 +1,106 @@
+"""Hooks that fail cost a request nothing but the default, and are left alone in the end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from martenstep.hooks import border
+from martenstep.hooks.code import Program, compile_source
+from martenstep.hooks.runner import ALONE_MS, FAILURES, NOTES, WINDOW_MS, Runner
+from martenstep.hooks.vm import STEPS, HookError, Machine
+
+REQUEST: tuple[Any, ...] = ("GET", "/p/1", "h", "anna", "studio", "read", 1.0, "de", "text/html", [], 0.0)
+REFUSAL = (429.0, "quota", 2500.0)
+LONG = 'Words { body: text(for x in range(5000), n = 0 { n + 1 }), content_type: "text/plain" }'
+DEFAULT = border.Words(b"too much", "text/plain", 2500.0, ())
+
+
+class Desk:
+    """A runner with one hook at refusals."""
+
+    def __init__(self, body: str, **changes: Any) -> None:
+        self.notes: list[str] = []
+        self.now = 1_000_000.0
+        program = compile_source(f"on refusal(r, why) {{ {body} }}")
+        self.runner = Runner({"refusal": program}, lambda what, fields: self.notes.append(what), **changes)
+
+    def refuse(self, given: tuple[Any, ...] = (REQUEST, REFUSAL)) -> border.Words:
+        return self.runner.call(self.now, "refusal", given,
+                                lambda made: border.words(made, 2500.0, border.Bounds()), DEFAULT)
+
+
+def test_a_good_hook_words_the_refusal_and_no_earlier_return() -> None:
+    desk = Desk('Words { body: "wait ${why.retry_after}", content_type: "text/plain", retry_after: 1ms }')
+    made = desk.refuse()
+    assert made.body == b"wait 2.5s" and made.retry_after_ms == 2500.0
+    assert desk.runner.counts == {"refusal good": 1} and not desk.notes
+
+
+@pytest.mark.parametrize(("body", "kind"), [
+    (LONG, "steps"),
+    ('Words { body: for x in range(40), s = "ab" { s + s }, content_type: "text/plain" }', "bytes"),
+    ('Words { body: text(1 / 0), content_type: "text/plain" }', "number"),
+    ('Words { body: text([1][why.status]), content_type: "text/plain" }', "index"),
+    ('Words { body: "x", content_type: "image/png" }', "border"),
+    ('Words { body: "x", content_type: "text/plain", headers: [Header { name: "x-a", value: "b\\nset-cookie: c" }] }',
+     "border"),
+    ('Words { body: "x", content_type: "text/plain", headers: [Header { name: "Retry-After", value: "0" }] }',
+     "border"),
+    ('Words { body: "x", content_type: "text/plain", retry_after: 1000000h * 1000000 }', "border"),
+])
+def test_a_hook_that_fails_leaves_the_default(body: str, kind: str) -> None:
+    desk = Desk(body)
+    assert desk.refuse() == DEFAULT and desk.runner.counts == {f"refusal {kind}": 1}
+    assert desk.notes == ["hook failed"]
+
+
+def test_the_backstop_is_the_hosts() -> None:
+    looks: list[int] = []
+
+    def late() -> Callable[[], bool]:
+        looks.append(0)
+        return lambda: True
+    desk = Desk('Words { body: for x in range(1000), s = "" { s }, content_type: "text/plain" }', late=late)
+    assert desk.refuse() == DEFAULT and desk.runner.counts == {"refusal late": 1} and looks == [0]
+
+
+def test_values_that_are_none_leave_the_default() -> None:
+    desk = Desk('Words { body: "a" + r.path, content_type: "text/plain" }')
+    assert desk.refuse(((), ())) == DEFAULT and desk.runner.counts == {"refusal ill-typed": 1}
+
+
+def test_a_hook_that_fails_too_often_is_left_alone_and_tried_again() -> None:
+    desk = Desk('Words { body: text([0][floor(r.time)]), content_type: "text/plain" }')
+    bad, good = (*REQUEST[:-1], 7.0), REQUEST
+    for _ in range(FAILURES):
+        assert desk.refuse((bad, REFUSAL)) == DEFAULT
+    assert desk.notes == ["hook failed"] * NOTES + ["hook left alone"]
+    assert desk.refuse() == DEFAULT and desk.runner.counts["refusal left alone"] == 1  # though it would be good now
+    desk.now += ALONE_MS
+    assert desk.refuse((bad, REFUSAL)) == DEFAULT  # its one trial
+    assert desk.refuse() == DEFAULT and desk.runner.counts["refusal breaks"] == 2
+    desk.now += ALONE_MS
+    assert desk.refuse((good, REFUSAL)).body == b"0"
+    for _ in range(FAILURES - 1):
+        desk.refuse((bad, REFUSAL))
+    desk.now += WINDOW_MS
+    assert desk.refuse().body == b"0" and desk.runner.counts["refusal breaks"] == 2  # failures are forgotten
+
+
+def test_a_point_without_a_hook_is_its_default() -> None:
+    desk = Desk("Words {}")
+    assert desk.runner.has("refusal") and not desk.runner.has("log")
+    assert desk.runner.call(0.0, "log", (), lambda made: made, "x") == "x" and not desk.runner.counts
+
+
+def test_a_run_that_is_cut_off_is_charged_in_full() -> None:
+    desk = Desk(LONG)
+    desk.refuse()
+    assert desk.runner.steps_used == STEPS
+    program: Program = compile_source('test "t" { true }')
+    machine = Machine(program, steps=1)
+    with pytest.raises(HookError, match="steps"):
+        machine.run(0, ())
