Counter: a segment that cannot be read for once costs a follower its connection, not its life

A segment compacted away between its listing and its reading ended the task that ships records without a word, and the follower waited for good. The connection now ends with the reason, and the follower comes back. The test fails without the mend.

--- a/martenstep/counter/service.py
+++ b/martenstep/counter/service.py
@@ -199,6 +199,8 @@
                 [entry] = records_of(data, follow.next - 1)
             except (LogError, ValueError) as error:
                 return Status.BAD, f"{error}: copy the directory first"
+            except OSError as error:
+                return Status.UNWRITTEN, f"the log cannot be read: {error}"
             if likeness(follow.next - 1, entry) != follow.check:
                 return Status.BAD, f"the logs part before record {follow.next}"
         return None
@@ -219,6 +221,9 @@
                 except LogError as error:
                     self._connection.end(Status.BAD, f"{error}: copy the directory first")
                     return
+                except OSError as error:  # a segment that was compacted away meanwhile, or a disk: it may ask again
+                    self._connection.end(Status.UNWRITTEN, f"the log cannot be read: {error}")
+                    return
                 for frame in _parts(self._sent, data):
                     await self._connection.room.wait()  # it is waited for, not cut off as a door is
                     transport = self._connection.transport
--- a/tests/test_counter_follow.py
+++ b/tests/test_counter_follow.py
@@ -5,13 +5,15 @@
 import asyncio
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from martenstep.config.text import Faults
 from martenstep.counter import frames as fr
+from martenstep.counter import service as service_module
 from martenstep.counter.follow import Follower, RefusedError, promote
-from martenstep.counter.log import records_of
+from martenstep.counter.log import read_records, records_of
 from martenstep.counter.read import rebuilt, verify
 from martenstep.counter.settings import parse_service
 from martenstep.counter.state import Limits
@@ -57,6 +59,34 @@
     run(test())
 
 
+def test_a_segment_that_cannot_be_read_for_once_costs_a_follower_its_connection_alone(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A segment that was compacted away between its listing and its reading hung the follower for good."""
+    failed: list[bool] = []
+
+    async def test() -> None:
+        async with served(tmp_path / "a", "recent_bytes: 2000") as (service, port):
+            wire = await Wire.to(port, fr.Hello("door", 1))
+            for first in range(1, 500, 100):
+                await adds(wire, first, 100)
+            read = read_records
+
+            def once(*words: Any) -> Any:
+                if not failed:
+                    failed.append(True)
+                    raise FileNotFoundError("gone")
+                return read(*words)
+            monkeypatch.setattr(service_module, "read_records", once)
+            follower = Follower(tmp_path / "b")
+            task = asyncio.create_task(follower.run("127.0.0.1", port))
+            await caught_up(follower, service.keeper.synced)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            follower.close()
+    run(test())
+    assert failed
+
+
 def test_a_follower_that_reads_slowly_is_waited_for(tmp_path: Path) -> None:
     async def test() -> None:
         async with served(tmp_path / "a", "recent_bytes: 100 unsent_bytes: 4096") as (service, port):
