Store: one place tells a written call as perhaps added; fewer copies of state; no timer made anew for each answer

A call that was written and then dropped for want of room, or of a node, could be told as not added: the choice stood at seven callers, and two had it wrong. Whether a node takes plain adds is kept at the node alone; the timer is left where an earlier one stands (an early wake does no harm); a pair of the stand-in names its servers and takes its port; the sentinels' name, and the values of fields that are not given, stand once each; a dead parameter goes.

Apart from that verdict nothing changes.

--- a/martenstep/cli/hooks.py
+++ b/martenstep/cli/hooks.py
@@ -14,12 +14,11 @@
 from martenstep.hooks.code import Program, compile_source
 from martenstep.hooks.fmt import format_file
 from martenstep.hooks.syntax import HookFault, parse
-from martenstep.hooks.types import POINTS, RECORDS, Type
+from martenstep.hooks.types import POINTS, RECORDS, ZERO, Type
 from martenstep.hooks.vm import BYTES, STEPS, HookError, Machine
 
 FILE = click.Path(path_type=Path)
 ROUNDS = 2000  # of `hook bench`
-ZERO: dict[str, Any] = {"number": 0.0, "duration": 0.0, "text": "", "bool": False}
 
 
 def _source(file: Path) -> str:
--- a/martenstep/hooks/check.py
+++ b/martenstep/hooks/check.py
@@ -33,7 +33,7 @@
 }
 
 
-def _near(name: str, among: list[str]) -> str:
+def _near(among: list[str]) -> str:
     listed = ", ".join(sorted(among)[:20])
     return f"(there are: {listed})" if listed else "(there are none)"
 
@@ -64,7 +64,7 @@
         seen: set[str] = set()
         for hook in self._file.hooks:
             if hook.point not in POINTS:
-                raise HookFault(hook.place, f"no point is named {hook.point!r} {_near(hook.point, list(POINTS))}")
+                raise HookFault(hook.place, f"no point is named {hook.point!r} {_near(list(POINTS))}")
             if hook.point in seen:
                 raise HookFault(hook.place, f"a second hook at {hook.point!r}")
             seen.add(hook.point)
@@ -99,7 +99,7 @@
             return list_of(self._written(made.of))
         found = BY_NAME.get(made.name)
         if found is None or made.of is not None:
-            raise HookFault(made.place, f"no type is named {made.name!r} {_near(made.name, [*BY_NAME, 'list'])}")
+            raise HookFault(made.place, f"no type is named {made.name!r} {_near([*BY_NAME, 'list'])}")
         return found
 
     def _body(self, place: Place, names: list[str], given: tuple[Type, ...], body: syn.Block, gives: Type,
@@ -135,7 +135,7 @@
                 return TEXT
             case syn.Name():
                 if made.name not in names:
-                    raise HookFault(made.place, f"nothing is named {made.name!r} {_near(made.name, list(names))}")
+                    raise HookFault(made.place, f"nothing is named {made.name!r} {_near(list(names))}")
                 return names[made.name]
             case syn.Items():
                 of = NOTHING
@@ -153,7 +153,7 @@
                     if name == made.name:
                         return kind
                 known = [name for name, _ in RECORDS.get(of, ())]
-                raise HookFault(made.place, f"{of} has no field {made.name!r} {_near(made.name, known)}")
+                raise HookFault(made.place, f"{of} has no field {made.name!r} {_near(known)}")
             case syn.Index():
                 of = self.type(made.of, names)
                 if of.name != "list" or of.of is None or of.of == NOTHING:
@@ -195,12 +195,12 @@
         found = BY_NAME.get(made.name)
         if found is None or found not in RECORDS:
             known = [record.name for record in RECORDS]
-            raise HookFault(made.place, f"no record is named {made.name!r} {_near(made.name, known)}")
+            raise HookFault(made.place, f"no record is named {made.name!r} {_near(known)}")
         fields = dict(RECORDS[found])
         seen: set[str] = set()
         for name, value in made.fields:
             if name not in fields:
-                raise HookFault(value.place, f"{found} has no field {name!r} {_near(name, list(fields))}")
+                raise HookFault(value.place, f"{found} has no field {name!r} {_near(list(fields))}")
             if name in seen:
                 raise HookFault(value.place, f"{name!r} is given twice")
             seen.add(name)
@@ -279,7 +279,7 @@
         known = self.functions.get(made.name) or BUILT_IN.get(made.name)
         if known is None:
             raise HookFault(made.place, f"no function is named {made.name!r} "
-                                        f"{_near(made.name, [*self.functions, *BUILT_IN])}")
+                                        f"{_near([*self.functions, *BUILT_IN])}")
         if made.name in self.functions and self._inside:
             self._calls.setdefault(self._inside, {}).setdefault(made.name, made.place)
         params, gives = known
--- a/martenstep/hooks/code.py
+++ b/martenstep/hooks/code.py
@@ -15,7 +15,7 @@
 from martenstep.hooks import syntax as syn
 from martenstep.hooks.check import MOST_SLOTS, check
 from martenstep.hooks.syntax import Expr
-from martenstep.hooks.types import BUILT_IN, BUILT_INS, DURATION, POINTS, RECORDS, TEXT, Type
+from martenstep.hooks.types import BUILT_IN, BUILT_INS, DURATION, POINTS, RECORDS, TEXT, ZERO, Type
 
 FORMAT = 1  # raised with each change of what the bytes mean
 MOST_CODE = 20_000  # instructions of one function
@@ -143,8 +143,7 @@
         if kind.name == "list":
             self._put(Op.LIST, 0)
         else:
-            nothing: dict[str, Constant] = {"text": "", "bool": False}
-            self._const(nothing.get(kind.name, 0.0))
+            self._const(ZERO[kind.name])
 
     def _expr(self, made: Expr, names: dict[str, int]) -> None:
         match made:
--- a/martenstep/hooks/types.py
+++ b/martenstep/hooks/types.py
@@ -56,6 +56,8 @@
     "log": ((REQUEST, ANSWER), list_of(ENTRY)),
 }
 
+ZERO: dict[str, float | str | bool] = {"number": 0.0, "duration": 0.0, "text": "", "bool": False}  # what is not given
+
 BOTH = Type("list or text")
 SHOWN = Type("number, text, bool or duration")
 BUILT_IN: dict[str, tuple[tuple[Type, ...], Type]] = {
--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -17,6 +17,7 @@
 from martenstep.lab import day_pb2 as pb
 from martenstep.standins.clients import Planned
 from martenstep.standins.photo import PhotoConfig, WorkOf
+from martenstep.standins.redis.fleet import MASTER
 from martenstep.store.slots import SLOTS
 
 DOOR_TROUBLES = (pb.DOOR_KILLED, pb.DOOR_ROLLED, pb.DOOR_CUT_FROM_FEED)
@@ -27,7 +28,6 @@
 FEED_TROUBLES = (pb.FEED_STALE, pb.FEED_PARTIAL, pb.FEED_DOWN)
 LEAVES_BY = 0.1  # parts of the aim: a client that leaves does so while its request is on its way
 KINDS = ("standard", "slow")
-PRIMARY = "counts"  # as the stand-in's sentinels call it
 LONGEST_MS = 30 * 60_000.0
 
 
@@ -197,7 +197,7 @@
         if day.store_topology == cfg.Store.ALONE:
             door.store.port = ports["store"]
         else:
-            door.store.topology, door.store.primary_name = day.store_topology, PRIMARY
+            door.store.topology, door.store.primary_name = day.store_topology, MASTER.decode()
             for name in sorted(name for name in ports if name.startswith("store-")):
                 door.store.node.add(port=ports[name])
     door.members.port, door.members.warm_copy = ports["feed"], str(warm_copy)
--- a/martenstep/standins/redis/fleet.py
+++ b/martenstep/standins/redis/fleet.py
@@ -25,13 +25,18 @@
 class Pair:
     """A primary and its replica, whose changes come a lag later; alone, a primary without one."""
 
-    def __init__(self, trace: Trace, number: int, replicated: bool, lag_ms: float) -> None:
-        self.primary = RedisServer(trace, name=f"redis-{number}a")
+    def __init__(self, trace: Trace, number: int, replicated: bool, lag_ms: float, port: int) -> None:
+        self.primary = RedisServer(trace, port, f"redis-{number}a")
         self.replica = RedisServer(trace, name=f"redis-{number}b") if replicated else None
         self.lag_ms = lag_ms
         self._stream: deque[tuple[float, int, bytes, Value | None, float]] = deque()
         self._follow()
 
+    @property
+    def servers(self) -> list[RedisServer]:
+        """The primary, and the replica where there is one."""
+        return [self.primary] if self.replica is None else [self.primary, self.replica]
+
     def _follow(self) -> None:
         if self.replica is not None:
             self.primary.keyspace.replica, self.primary.keyspace.changed = False, self._changed
@@ -75,9 +80,8 @@
                  lag_ms: float = 100.0, port: int = 0) -> None:
         self.kind, self._trace = kind, trace
         count = shards if kind == CLUSTER else 1
-        self.pairs = [Pair(trace, number, kind != ALONE, lag_ms) for number in range(count)]
-        if kind == ALONE:
-            self.pairs[0].primary = RedisServer(trace, port, "redis-0a")
+        self.pairs = [Pair(trace, number, kind != ALONE, lag_ms, port if kind == ALONE else 0)
+                      for number in range(count)]
         self.sentinels = [RedisServer(Trace(None), name=f"sentinel-{n}") for n in range(sentinels * (kind == SENTINEL))]
         self._owner = [slot * count // SLOTS for slot in range(SLOTS)]  # pair by slot
         self._moving: dict[int, int] = {}  # slots under way, and to which pair
@@ -89,8 +93,8 @@
 
     @property
     def servers(self) -> list[RedisServer]:
-        """Primaries, then replicas."""
-        return [pair.primary for pair in self.pairs] + [p.replica for p in self.pairs if p.replica is not None]
+        """Of all pairs."""
+        return [server for pair in self.pairs for server in pair.servers]
 
     @property
     def ports(self) -> list[int]:
@@ -233,14 +237,13 @@
                 {"id": server.keyspace.run_id.encode(), "port": server.port, "ip": HOST, "endpoint": HOST,
                  "role": b"replica" if server.keyspace.replica else b"master",
                  "replication-offset": server.keyspace.offset, "health": b"online"}
-                for server in (pair.primary, pair.replica) if server is not None]
+                for server in pair.servers]
             shards.append({"slots": slots, "nodes": nodes})
         return shards
 
     @staticmethod
     def _nodes(pair: Pair) -> list[Reply]:
-        return [[HOST, server.port, server.keyspace.run_id.encode(), []]
-                for server in (pair.primary, pair.replica) if server is not None]
+        return [[HOST, server.port, server.keyspace.run_id.encode(), []] for server in pair.servers]
 
     def _sentinel(self, session: Session, words: list[bytes]) -> Reply | None:
         if words[0].upper() != b"SENTINEL":
--- a/martenstep/store/core.py
+++ b/martenstep/store/core.py
@@ -176,13 +176,13 @@
 
 
 class _Node:
-    def __init__(self, name: str, lanes: int, rng: random.Random) -> None:
+    def __init__(self, name: str, options: Options, rng: random.Random) -> None:
         self.name = name
-        self.lanes = [_Lane(Lane(name, index), self) for index in range(lanes)]
+        self.lanes = [_Lane(Lane(name, index), self) for index in range(options.lanes)]
         self.failures = 0
         self.backoff = Backoff(AGAIN_LEAST_MS, AGAIN_MOST_MS, rng)
         self.closed_until = -math.inf
-        self.plain = False
+        self.plain = not options.scripts  # adds, not statements
         self.generation = 0  # of its contents, no other node's
         self.noted = 0  # the generation whose loss was told of
         self.heard = -math.inf
@@ -218,7 +218,7 @@
         self._slots: list[str] = []  # node by slot; one alone where there are no slots
         self._told: list[str] = []  # the same as the topology had it, without what MOVED told since
         self._generation = 0
-        self._registers: OrderedDict[int, Register] = OrderedDict()  # the one that was answered last is last
+        self._registers: dict[int, Register] = {}  # the newest name is last
         self._homeless: deque[Op] = deque()  # until the topology is known
         self._version = 0
         self._actions: deque[Action] = deque()
@@ -278,7 +278,9 @@
         if lane is not None and lane.opening:
             lane.opening = False
             self._failed(now, lane, error)
-            self._give_up(lane, Verdict.CONNECT_FAILED)
+            waiting, lane.queue = lane.queue, deque()
+            for op in waiting:  # none of them has a way out
+                self._drop(op, Verdict.CONNECT_FAILED)
             self._turn(now)
 
     def lost(self, now: float, at: Lane, error: str) -> None:
@@ -395,7 +397,7 @@
     def _node(self, name: str) -> _Node:
         found = self._nodes.get(name)
         if found is None:
-            found = self._nodes[name] = _Node(name, self._options.lanes, self._rng)
+            found = self._nodes[name] = _Node(name, self._options, self._rng)
             self._anew(found)
         return found
 
@@ -418,7 +420,7 @@
         lane = self._lane_of(op.name, node)
         if node.broken and op.call is not None and (node.closed_until > now or node.busy or self._newest(now, lane)):
             # Its one trial is a statement of what it had, where there is any: no request waits for it.
-            self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.CONNECT_FAILED)
+            self._drop(op, Verdict.CONNECT_FAILED)
         elif first:
             self._insert(lane, op)
         elif len(lane.queue) + len(lane.out) >= self._options.waiting:
@@ -468,12 +470,12 @@
                 self._actions.append(Open(lane.lane))
 
     def _write(self, now: float, lane: _Lane) -> None:
-        plain = lane.node.plain or not self._options.scripts
+        plain = lane.node.plain
         batch: list[Op] = []
         while lane.queue and len(batch) < BATCH:
             op = lane.queue.popleft()
             if op.until <= now:
-                self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.FULL)
+                self._drop(op, Verdict.FULL)
                 continue
             batch.append(op)
         lane.first = now
@@ -583,7 +585,7 @@
         if turn and (op.call is not None or op.version):
             lane.again.append(op)
         elif op.call is not None:
-            self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.FULL)
+            self._drop(op, Verdict.FULL)
         register = self._registers.get(op.name)
         if not turn and register is not None and register.version > register.acked:
             lane.rest_until = max(lane.rest_until, now + REST_MS)
@@ -628,7 +630,6 @@
     def _cut(self, now: float, lane: _Lane) -> None:
         """A connection is gone, and what was out with it is uncertain."""
         lane.ready = lane.opening = False
-        plain = lane.node.plain or not self._options.scripts
         for op in lane.out:
             op.uncertain = True
         out = [*lane.again, *lane.out]
@@ -638,18 +639,12 @@
             op.asking = False
             if not op.uncertain:
                 self._insert(lane, op)
-            elif plain or op.until <= now or op.call is None:
+            elif lane.node.plain or op.until <= now or op.call is None:
                 self._drop(op, Verdict.TIMEOUT)
             else:
                 self.counts["sent again"] += 1
                 self._insert(lane, op)
 
-    def _give_up(self, lane: _Lane, verdict: Verdict) -> None:
-        """Nothing that waits at a lane has a way out."""
-        waiting, lane.queue = lane.queue, deque()
-        for op in waiting:
-            self._drop(op, Verdict.TIMEOUT if op.uncertain else verdict)
-
     def _expire(self, now: float, lane: _Lane) -> None:
         for op in lane.out:
             if op.until <= now and op.call is not None:
@@ -657,19 +652,19 @@
                 op.call = None
         for op in [op for op in lane.again if op.until <= now]:
             lane.again.remove(op)
-            self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.FULL)
+            self._drop(op, Verdict.FULL)
         lane.first_end = min((op.until for op in (*lane.out, *lane.again) if op.call is not None), default=math.inf)
         while lane.queue and lane.queue[0].until <= now:
             op = lane.queue.popleft()
-            self._drop(op, Verdict.TIMEOUT if op.uncertain else Verdict.FULL)
+            self._drop(op, Verdict.FULL)
         if lane.out and now - lane.since >= self._options.timeout_ms:
             self._actions.append(Close(lane.lane))
             self._failed(now, lane, "no answer in time")
             self._cut(now, lane)
 
     def _drop(self, op: Op, verdict: Verdict) -> None:
-        """An operation ends without an answer; what it may have left is stated again."""
-        self._tell(op.call, verdict)
+        """An operation ends without an answer; one that was written once may have been done, and is stated again."""
+        self._tell(op.call, Verdict.TIMEOUT if op.uncertain else verdict)
         op.call = None
         if op.uncertain:
             self._restate(op.name)
--- a/martenstep/store/redis_store.py
+++ b/martenstep/store/redis_store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 from collections.abc import Callable
@@ -65,6 +66,7 @@
         self._links: dict[Lane, _Link] = {}
         self._known: list[str] = []
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = math.inf
         self._learning: asyncio.Task[None] | None = None
         self._hearing: asyncio.Task[None] | None = None
         self._stopped = False
@@ -124,12 +126,16 @@
         now = now_ms()
         at = self.core.next_at(now)
         if self._timer is not None:
+            if self._timer_at <= at:
+                return  # a wake that comes early does no harm, and each answer would make a timer anew
             self._timer.cancel()
             self._timer = None
-        if at < float("inf") and not self._stopped:
+        if at < math.inf and not self._stopped:
+            self._timer_at = at
             self._timer = asyncio.get_running_loop().call_later(max(at - now, 0.0) / 1000, self._wake)
 
     def _wake(self) -> None:
+        self._timer = None
         self.core.wake(now_ms())
         self._act()
 
