--- a/martenstep/cli/hooks.py
+++ b/martenstep/cli/hooks.py
@@ -11,8 +11,10 @@
 import msgspec
 
 from martenstep.cli.words import example
+from martenstep.hooks import files
 from martenstep.hooks.code import Program, compile_source
 from martenstep.hooks.fmt import format_file
+from martenstep.hooks.releases import choose
 from martenstep.hooks.syntax import HookFault, parse
 from martenstep.hooks.types import POINTS, RECORDS, ZERO, Type
 from martenstep.hooks.vm import BYTES, STEPS, HookError, Machine
@@ -172,6 +174,88 @@
     sys.exit(1 if failed or not count else 0)
 
 
+KEY = click.option("--key", "keys", multiple=True, help="Public key in hex; some, and what none signed is refused.")
+
+
+@hook.command("key", epilog=example("martenstep hook key signing.pem"))
+@click.argument("file", type=FILE)
+def key(file: Path) -> None:
+    """Write a new signing key to FILE and print its public key, for trusted_key in the door's settings."""
+    try:
+        click.echo(files.new_key(file))
+    except OSError as error:
+        raise click.UsageError(f"{file}: {error.strerror}") from None
+
+
+@hook.command("publish", epilog=example("martenstep hook publish drafts/ /srv/hooks --version 8 --share 0.1"))
+@click.argument("source", type=FILE)
+@click.argument("directory", type=FILE)
+@click.option("--version", type=click.IntRange(min=1), required=True, help="Above all that are there.")
+@click.option("--share", type=click.FloatRange(0, 1, min_open=True), default=1.0, show_default=True,
+              help="Of the customers; below 1 it is a trial.")
+@click.option("--trial-customer", "customers", multiple=True, help="Belongs to the trial in any case.")
+@click.option("--about", default="", help="A line for the others.")
+@click.option("--sign", "signing", type=FILE, default=None, help="The private key, as `hook key` wrote it.")
+def publish(source: Path, directory: Path, version: int, share: float, customers: tuple[str, ...], about: str,
+            signing: Path | None) -> None:
+    """Put the hooks of SOURCE, all or those that its manifest names, into DIRECTORY as one release."""
+    try:
+        made = files.publish(source, directory, version, share=share, about=about, customers=customers,
+                             key=files.load_key(signing) if signing is not None else None)
+    except files.ReleaseError as error:
+        raise click.UsageError(str(error)) from None
+    except OSError as error:
+        raise click.UsageError(f"{error.filename or directory}: {error.strerror}") from None
+    click.echo(f"{made}: version {version}, share {share:g}; SIGHUP the doors to take it up")
+
+
+@hook.command("list", epilog=example("martenstep hook list /etc/martenstep/hooks"))
+@click.argument("directory", type=FILE)
+@KEY
+@click.option("--history", type=FILE, default=None, help="A door's history: what it took back is marked.")
+@click.option("--customer", default=None, help="Tell which release acts for it.")
+def list_releases(directory: Path, keys: tuple[str, ...], history: Path | None, customer: str | None) -> None:
+    """Tell what stands in DIRECTORY, and what of it acts; exit 1 where something there cannot be taken."""
+    try:
+        for one in keys:
+            files.key_of(one)
+        releases, wrong = files.read_directory(directory, keys)
+        withdrawn = files.History(history, "").withdrawn() if history is not None else set()
+    except ValueError as error:
+        raise click.UsageError(f"--key: {error}") from None
+    except OSError as error:
+        raise click.UsageError(f"{error.filename}: {error.strerror}") from None
+    acting = choose(releases, withdrawn)
+    for release in sorted(releases, key=lambda one: one.version):
+        state = ("withdrawn" if release.version in withdrawn else "acts" if release is acting[0] else
+                 "on trial" if release is acting[1] else "not acting")
+        points = ", ".join(f"{one.point} ({one.name})" for one in release.hooks) or "no hooks"
+        signed = f"; signed by {release.signer[:16]}" if release.signer else ""
+        click.echo(f"{release.version}: {state}; share {release.share:g}; {points}{signed}"
+                   f"{'; ' + release.about if release.about else ''}")
+    for text in wrong:
+        click.echo(f"cannot be taken: {text}", err=True)
+    if customer is not None:
+        held = next((one for one in reversed(acting) if one is not None and one.holds(customer)), None)
+        click.echo(f"{customer}: {held.version if held else 'none'}")
+    sys.exit(1 if wrong else 0)
+
+
+@hook.command("history", epilog=example("martenstep hook history /var/lib/martenstep/hooks.jsonl"))
+@click.argument("file", type=FILE)
+def history(file: Path) -> None:
+    """Tell what became of releases at a door, the oldest first."""
+    if not file.is_file():
+        raise click.UsageError(f"{file}: there is no such file")
+    try:
+        lines = files.History(file, "").lines()
+    except OSError as error:
+        raise click.UsageError(f"{file}: {error.strerror}") from None
+    for line in lines:
+        rest = ", ".join(f"{name} {value}" for name, value in line.items() if name not in ("time", "door", "event"))
+        click.echo(f"{line.get('time', '?')} {line.get('door', '?')}: {line.get('event', '?')}: {rest}")
+
+
 @hook.command("bench", epilog=example("martenstep hook bench words.hook --point refusal"))
 @click.argument("file", type=FILE)
 @click.option("--point", default="", help="Which hook of the file, where it holds several.")
--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -18,6 +18,7 @@
 
 from martenstep.cli.hooks import hook
 from martenstep.cli.words import example as _example
+from martenstep.config import door_pb2 as pb
 from martenstep.config.settings import load_door
 from martenstep.config.text import Faults
 
@@ -41,20 +42,33 @@
 @click.argument("file", type=FILE)
 @click.option("--seed", type=int, default=None, help="Seed of the module's choices, to repeat a run.")
 @click.option("--uvloop", is_flag=True, help="Run on uvloop, where it is installed.")
-def serve(file: Path, seed: int | None, uvloop: bool) -> None:
-    """Run a door with the settings in FILE until SIGTERM."""
+@click.option("--workers", type=click.IntRange(1, 256), default=None, help="In place of the settings' workers.count.")
+def serve(file: Path, seed: int | None, uvloop: bool, workers: int | None) -> None:
+    """Run a door with the settings in FILE until SIGTERM; SIGHUP takes up what changed in it."""
+    def load() -> pb.Door:
+        made = load_door(file)
+        if workers is not None:
+            made.workers.count = workers
+        return made
     try:
-        door = load_door(file)
+        door = load()
     except Faults as error:
         _told(error)
-    from martenstep.door.daemon import run
+    from martenstep.supervise.service import run
     if uvloop:
         try:
             import uvloop as loops
         except ImportError:
             raise click.UsageError("uvloop is not installed: pip install 'martenstep[uvloop]'") from None
         asyncio.set_event_loop_policy(loops.EventLoopPolicy())
-    sys.exit(run(door, seed))
+    sys.exit(run(door, load, seed))
+
+
+@cli.command(hidden=True, epilog=_example("martenstep worker < frames"))
+def worker() -> None:
+    """Run one worker of a supervisor, which steers it over standard input."""
+    from martenstep.supervise.worker import work
+    sys.exit(asyncio.run(work()))
 
 
 @cli.group()
--- a/martenstep/config/generate.py
+++ b/martenstep/config/generate.py
@@ -7,7 +7,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
-SCHEMAS = ("martenstep/config/door.proto", "martenstep/lab/day.proto", "martenstep/counter/counter.proto")
+SCHEMAS = ("martenstep/config/door.proto", "martenstep/lab/day.proto", "martenstep/counter/counter.proto",
+           "martenstep/hooks/manifest.proto")
 
 
 def generate(out: Path) -> list[Path]:
--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -5,6 +5,7 @@
 import hashlib
 import ipaddress
 import math
+import re
 from collections.abc import Callable, Iterable, Sequence
 from pathlib import Path
 from typing import Any
@@ -18,7 +19,9 @@
 TICK_MS = 1.0  # a socket's answer takes about this: what is left of a deadline below it is of no use
 ERROR_STATUS = (500, 502, 503, 504)
 MOST_PORT = 65535
+MOST_WORKERS = 256
 CUSTOMER_BITS = 33  # the module's customers are numbers below 2^33
+HEX_KEY = re.compile(r"[0-9a-f]{64}")
 METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "PATCH")
 
 
@@ -173,6 +176,31 @@
         check.fault(node, "certificate and key go together")
 
 
+def _check_hooks(check: Checker, door: pb.Door, node: Node) -> None:
+    """What the settings leave open to hooks."""
+    told = door.hooks
+    check.needed(told, node, "directory")
+    for name, known in (("class", {entry.name for entry in getattr(door, "class")}),
+                        ("plan", {entry.name for entry in door.plan}),
+                        ("customer", {entry.key for entry in door.customer})):
+        for value, at in zip(getattr(told, name), node.all(name), strict=True):
+            if value not in known:
+                check.fault(at, f"no {name} is named {value!r}")
+    for key, at in zip(told.trusted_key, node.all("trusted_key"), strict=True):
+        if not HEX_KEY.fullmatch(key):
+            check.fault(at, "expected an Ed25519 key of 64 hex digits")
+    if told.HasField("least_units"):
+        check.number(told, node, "least_units", 0, door.max_units)
+    if told.HasField("most_units"):
+        check.number(told, node, "most_units", told.least_units, door.max_units)
+    for prefix, at in zip(told.path_prefix, node.all("path_prefix"), strict=True):
+        if not prefix.startswith("/"):
+            check.fault(at, f"expected a path that begins with '/', got {prefix!r}")
+    check.number(told, node, "failure_share", 0, 1)
+    check.above_zero(told, node, "mean_steps", "backstop_ms")
+    check.number(told, node, "least_runs", 1)
+
+
 def _check_store(check: Checker, store: pb.Store, node: Node) -> None:
     """Where the shared store is, and who we are there."""
     if store.topology == pb.Store.ALONE:
@@ -253,6 +281,8 @@
             check.above_zero(part, node, "timeout_ms")
             if part.timeout_ms >= shortest:
                 check.fault(node.at("timeout_ms"), f"expected below the shortest deadline of {shortest:g}")
+    if door.HasField("hooks"):
+        _check_hooks(check, door, root.at("hooks"))
     if door.HasField("tracing"):
         check.needed(door.tracing, root.at("tracing"), "file")
         check.number(door.tracing, root.at("tracing"), "share", 0, 1)
@@ -340,6 +370,9 @@
         if route.fail_open and not door.default_plan:
             check.fault(node.at("fail_open"), "there is no default_plan for those that pass without a verdict")
     check_rules(check, door.rules, root.at("rules"))
+    check.number(door.workers, root.at("workers"), "count", 1, MOST_WORKERS)
+    if door.workers.count > 1 and door.admin.port and door.admin.port + door.workers.count - 1 > MOST_PORT:
+        check.fault(root.at("admin").at("port"), "the workers take this port and those above it, past the last one")
     _check_parts(check, door, root)
 
 
--- a/martenstep/door/daemon.py
+++ b/martenstep/door/daemon.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import os
 import random
-import signal
-import sys
+import socket
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -20,25 +18,50 @@
 from martenstep.door.driver import Driver
 from martenstep.door.engine import Engine
 from martenstep.door.events import Counted, Tried
-from martenstep.door.log import Notes, configure
+from martenstep.door.log import Notes
 from martenstep.door.traces import Exporter
 from martenstep.door.wires import now_ms
+from martenstep.hooks.files import History, read_directory
+from martenstep.hooks.releases import Shelf
+from martenstep.hooks.runner import Limits
 from martenstep.interface import Scope, Verdict
 from martenstep.members.feed import Feed
 from martenstep.members.lists import Listed
 from martenstep.store.redis_store import RedisStore
 
 WARN_S = 3600.0  # between two looks at the certificate's end
+KEPT_EVENTS = ("hooks", "hooks withdrawn", "hook left alone", "hooks changed under a known version")
 COUNTER_FLUSH_MS = 2000.0  # at a stop: what is not acknowledged by then stays in the journal
 
 
+class Backstop:
+    """The end of a hook's run by the clock, for what its steps do not bound: a machine that stands still."""
+
+    def __init__(self, most_ms: float) -> None:
+        self.most_ms = most_ms
+
+    def begin(self) -> Callable[[], bool]:
+        """For one run."""
+        until = time.perf_counter() + self.most_ms / 1000
+        return lambda: time.perf_counter() > until
+
+
 class Daemon:
     """One door with its store, its feed and its admin listener."""
 
     def __init__(self, door: pb.Door, seed: int | None = None) -> None:
         self.door = door
         self.notes = Notes(door.log, door.name)
-        self.engine = Engine(door, random.SystemRandom().getrandbits(63) if seed is None else seed)
+        self.shelf: Shelf | None = None
+        self._history: History | None = None
+        self._backstop = Backstop(door.hooks.backstop_ms)
+        if door.HasField("hooks"):
+            told = door.hooks
+            self._history = History(Path(told.history), door.name) if told.history else None
+            self.shelf = Shelf(Limits(told.failure_share, told.mean_steps, told.least_runs), self._hooks_told,
+                               withdrawn=self._withdrawn(), late=self._backstop.begin)
+        self.engine = Engine(door, random.SystemRandom().getrandbits(63) if seed is None else seed, self.shelf,
+                             time.time() * 1000 - now_ms())
         self.driver = Driver(door, self.engine, self.notes.note)
         self.ready = False
         self._store: RedisStore | None = None
@@ -49,10 +72,12 @@
         self._feed = Feed(door.members, door.name, self._listed, self._odd, now_ms)
         self._feeding: asyncio.Task[None] | None = None
         self._admin = Admin(DoorCollector(self._counts, self._gauges), lambda: self.ready)
+        self._loading: asyncio.Task[None] | None = None
         self.ports: dict[str, int] = {}
 
-    async def start(self) -> None:
-        """Bind everything; the listener last, so that the first request finds the list."""
+    async def start(self, sock: socket.socket | None = None, reuse_port: bool = False) -> None:
+        """Bind everything; the listener last, or a socket bound already, so that the first request finds the list."""
+        await self.load_hooks()
         self.driver.listen = self._feed.listen
         if self._store is not None:
             self._store.start()
@@ -70,13 +95,54 @@
             self._feeding.add_done_callback(self._feed_ended)
         if self.door.HasField("admin"):
             self.ports["admin"] = await self._admin.start(self.door.admin.host, self.door.admin.port)
-        self.ports["listener"] = await self.driver.start()
+        self.ports["listener"] = await self.driver.start(sock, reuse_port)
         self.ready = True
         self._warn()
         self.notes.note("ready", dict(self.ports))
 
-    def reload(self) -> None:
-        """Take up new certificates; connections that stand keep theirs."""
+    async def load_hooks(self) -> None:
+        """Take up the releases that stand in the directory.  Hooks never keep a door from its service: what cannot be
+        read is told and left out, and what acts goes on."""
+        if self.shelf is None:
+            return
+        told = self.door.hooks
+        try:
+            releases, wrong = await asyncio.to_thread(read_directory, Path(told.directory), told.trusted_key)
+        except OSError as error:
+            self.notes.note("hooks not taken up", {"error": f"{told.directory}: {error.strerror}"})
+            return
+        for text in wrong:
+            self.notes.note("hooks not taken up", {"error": text})
+        self.shelf.stock(releases)
+
+    def _withdrawn(self) -> set[int]:
+        try:
+            return self._history.withdrawn() if self._history is not None else set()
+        except OSError as error:
+            self.notes.note("hooks history not read", {"error": error.strerror or str(error)})
+            return set()
+
+    def _hooks_told(self, event: str, fields: dict[str, Any]) -> None:
+        self.notes.note(event, fields)
+        if self._history is not None and event in KEPT_EVENTS:
+            try:
+                self._history.add(event, fields)
+            except OSError as error:
+                self.notes.note("hooks history not written", {"error": error.strerror or str(error)})
+
+    def reconfigure(self, door: pb.Door) -> None:
+        """Take up settings that differ only in what can change in service (config.changes)."""
+        self.door = door
+        self.notes.bound(door.log)
+        if self.shelf is not None:
+            told = door.hooks
+            self.shelf.limit(Limits(told.failure_share, told.mean_steps, told.least_runs))
+            self._backstop.most_ms = told.backstop_ms
+        self.driver.reconfigure(door)
+
+    def renew(self) -> None:
+        """Take up new hooks and certificates; requests and connections that stand keep theirs."""
+        self._loading = asyncio.create_task(self.load_hooks())
         every: list[ServerContext | ClientContext] = [*self.driver.client_tls]
         if self.driver.tls is not None:
             every.append(self.driver.tls)
@@ -159,46 +225,20 @@
         if self._store is not None:
             for what, count in self._store.core.counts.items():
                 made[f"store_{what.replace(' ', '_').lower()}"] = count
+        if self.shelf is not None:
+            for what, count in self.shelf.counts.items():
+                made[f"hooks_{what.replace(' ', '_').replace('-', '_')}"] = count
         return made
 
     def _gauges(self) -> dict[str, float]:
         held: dict[str, float] = {f"held_{name}": value for name, value in self.engine.held.items()}
+        if self.shelf is not None:
+            held.update({f"hooks_version_{name}": version for name, version in self.shelf.acting.items()})
         return {**held, "client_connections": len(self.driver.clients),
                 "upstream_connections": self.driver.pool.connections}
 
 
-async def serve(door: pb.Door, seed: int | None = None) -> int:
-    """Run a door until SIGTERM or SIGINT; gives the exit code."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    try:
-        daemon = Daemon(door, seed)
-    except TlsError as error:
-        Notes(door.log, door.name).note("cannot start", {"error": str(error)})
-        return 1
-    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
-    loop.set_exception_handler(lambda _, context: _loop_fault(daemon, context))
-    try:
-        await daemon.start()
-    except OSError as error:
-        daemon.notes.note("cannot start", {"error": error.strerror or str(error)})
-        return 1
-    sys.stdout.write(json.dumps({"ready": daemon.ports, "pid": os.getpid()}) + "\n")
-    sys.stdout.flush()
-    await stop.wait()
-    await daemon.stop()
-    return 0
-
-
-def _loop_fault(daemon: Daemon, context: dict[str, Any]) -> None:
+def loop_fault(daemon: Daemon, context: dict[str, Any]) -> None:
     """What the event loop cannot hand to anybody; running out of file descriptors on accept is the usual one."""
     error = context.get("exception")
     daemon.notes.note("fault", {"where": str(context.get("message", "")), "error": repr(error) if error else ""})
-
-
-def run(door: pb.Door, seed: int | None = None) -> int:
-    """Run a door in this process."""
-    configure(door.log.form)
-    return asyncio.run(serve(door, seed))
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
@@ -40,6 +41,7 @@
 )
 
 SWEEP_MS = 250.0  # how often idle and stalled connections are looked for
+BACKLOG = 1024  # connections that wait to be accepted
 PASS_BYTES = 65536  # of an answer that a slow client has not taken yet, before its server is read no further
 LINGER_BYTES = 262144  # of an unread body that are read and thrown away, so that a reset does not eat the answer
 LINGER_MS = 1000.0
@@ -356,15 +358,24 @@
 
     # Life -----------------------------------------------------------------------------------------------
 
-    async def start(self) -> int:
-        """Bind and accept; gives the port."""
+    def reconfigure(self, door: pb.Door) -> None:
+        """Take up settings that differ only in what can change in service."""
+        self.listener, self.upstream = door.listener, door.upstream
+        self.engine.reconfigure(door)
+
+    async def start(self, sock: socket.socket | None = None, reuse_port: bool = False) -> int:
+        """Bind, or take a socket that is bound already, and accept; gives the port."""
         def factory() -> asyncio.Protocol:
             made = AcceptingProtocol(WatchedReader(), self._connected)
             if self.tls is None:
                 return made
             return SecuringProtocol(made, self.tls.context, self.listener.head_ms / 1000, self._insecure)
 
-        self._server = await self.loop.create_server(factory, self.listener.host, self.listener.port, backlog=1024)
+        if sock is not None:
+            self._server = await self.loop.create_server(factory, sock=sock, backlog=BACKLOG)
+        else:
+            self._server = await self.loop.create_server(factory, self.listener.host, self.listener.port,
+                                                         backlog=BACKLOG, reuse_port=reuse_port or None)
         self._sweeper = asyncio.create_task(self._sweep())
         return int(self._server.sockets[0].getsockname()[1])
 
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -23,10 +23,13 @@
 from martenstep.config.settings import ERROR_STATUS, module_settings
 from martenstep.decide import Gateway
 from martenstep.door import events as ev
-from martenstep.door.http import STATUS, header, only_ours, own_answer, rate_limit
+from martenstep.door.http import STATUS, header, only_ours, own_answer, rate_limit, reason_header, waits
+from martenstep.door.points import Points, encoded
 from martenstep.door.routes import Guarded, Routed, Routes, Unroutable
 from martenstep.door.traces import Sampler, Trace
 from martenstep.door.verdicts import StatusTable, of_ending, of_stop
+from martenstep.hooks.releases import EMPTY, Edition, Shelf
+from martenstep.hooks.runner import Runner
 from martenstep.interface import Verdict
 
 FULL_HOUSE_WAIT_MS = 1000.0  # retry-after where the door holds all it may: about the time a request takes
@@ -56,8 +59,9 @@
 class Exchange:
     """One client request, from its head to the end of its last attempt."""
 
-    __slots__ = ("arrived", "attempt", "credential", "deadline", "guarded", "head", "label", "one_attempt", "rid",
-                 "routed", "servers", "settled", "ticket", "timed_out", "told", "trace", "verdict")
+    __slots__ = ("arrived", "attempt", "credential", "deadline", "edition", "guarded", "head", "label", "one_attempt",
+                 "rid", "routed", "runner", "sending", "servers", "settled", "ticket", "timed_out", "told", "trace",
+                 "verdict")
 
     def __init__(self, arrived: ev.Arrived, routed: Routed, rid: str, label: str, now: float,
                  deadline: float) -> None:
@@ -73,13 +77,17 @@
         self.told = False  # the module knows of it
         self.trace: Trace | None = None
         self.one_attempt = False  # its body cannot be written again
+        self.edition: Edition = EMPTY  # the hooks that act at its begin
+        self.runner: Runner | None = None  # those of them that are its customer's
+        self.sending: tuple[bytes, ev.Headers] | None = None  # what a hook made of its target, for all attempts
         self.timed_out = False
 
 
 class Engine:
     """One door: the module's Gateway, its requests, its timers."""
 
-    def __init__(self, door: pb.Door, seed: int) -> None:
+    def __init__(self, door: pb.Door, seed: int, shelf: Shelf | None = None, epoch_ms: float = 0.0) -> None:
+        """`shelf` holds the hooks, where there are any; `epoch_ms` is what the clock lacks to Unix time, for them."""
         self.settings = module_settings(door)
         self._gateway = Gateway(self.settings, seed)
         self._routes = Routes(door)
@@ -118,6 +126,8 @@
         if self._answerer is not None:
             edge = api.Server(EDGE, door.zone, "edge", 0, api.State.UP)
             self._gateway.handle(0.0, api.Members(api.Scope.FULL, (edge,)))
+        self._shelf, self._epoch_ms = shelf, epoch_ms
+        self._points = self._points_of(door)
         self._exchanges: dict[int, Exchange] = {}  # by ticket, while anything of them is left
         self._rids: dict[str, Exchange] = {}
         self._open = 0  # requests without a final answer
@@ -170,6 +180,12 @@
         out, self._out = self._out, []
         return out
 
+    def reconfigure(self, door: pb.Door) -> None:
+        """Take up settings that differ only in what can change in service; requests that are inside keep theirs."""
+        self._routes = Routes(door)
+        self._points = self._points_of(door)
+        self._margin, self._max_open = door.listener.answer_margin_ms, door.listener.max_open
+
     def stop(self, now: float) -> list[ev.Action]:
         """The daemon's time is over: every request that is still held gets its answer now."""
         self._now = max(now, self._now)
@@ -178,6 +194,19 @@
         out, self._out = self._out, []
         return out
 
+    def _points_of(self, door: pb.Door) -> Points | None:
+        """Where hooks act, by these settings."""
+        if self._shelf is None:
+            return None
+        named = {route.customer_header.lower().encode() for route in door.route if route.customer_header}
+        secret = set(self._credentials) if self._auth is not None else set()
+        if door.HasField("forward_auth"):
+            secret.add(door.forward_auth.secret_header.lower().encode())
+        kept = {self._id_header, self._attempt_header, self._key_header, self._deadline_header, *named}
+        if self._auth is not None:
+            kept |= self._auth_only
+        return Points(door, self._routes, secret - {b""}, kept, self._epoch_ms)
+
     # The module -----------------------------------------------------------------------------------------
 
     def _tell(self, event: api.Event) -> None:
@@ -251,6 +280,15 @@
         if exchange.verdict is not None:
             headers += [pair for pair in exchange.verdict.headers if pair[0] in self._auth_copies]
         left = max(exchange.deadline - self._now, 0.0)
+        target = head.target
+        if exchange.runner is not None and exchange.runner.has("sending"):
+            assert self._points is not None
+            if exchange.sending is None:
+                exchange.sending = self._points.sending(self._now, exchange.runner, head, exchange.routed)
+            target, given = exchange.sending
+            if given:
+                names = {name for name, _ in given}
+                headers = [pair for pair in headers if pair[0] not in names] + given
         headers += [*self._signed(exchange.label), (self._attempt_header, b"%d" % number),
                     (self._deadline_header, f"{left:.0f}".encode())]
         if trace is not None:
@@ -262,8 +300,7 @@
         if exchange.routed.cls.effect is api.Effect.KEYED and header(headers, self._key_header) is None:
             headers.append((self._key_header, f"{self._name}-{exchange.rid}".encode()))
         self._timer(min(self._now + self._connect_ms, exchange.deadline), self._unconnected, exchange.ticket, number)
-        self._out.append(ev.Open(exchange.ticket, number, action.server, address, head.method, head.target,
-                                 headers))
+        self._out.append(ev.Open(exchange.ticket, number, action.server, address, head.method, target, headers))
 
     def _let_pass(self, exchange: Exchange, number: int, server: int) -> None:
         """The edge proxy may forward the request: that is the sub-request's answer, and the outcome that is owed.  How
@@ -331,6 +368,15 @@
     def _answer(self, exchange: Exchange, status: int, reason: str, wait: float | None) -> None:
         """A final answer of the door's own."""
         headers, body = own_answer(reason, exchange.label, wait)
+        runner = exchange.runner or exchange.edition.runner(exchange.routed.key)
+        if wait is not None and runner is not None and runner.has("refusal"):
+            assert self._points is not None
+            words = self._points.refusal(self._now, runner, exchange.head, exchange.routed, status, reason, wait)
+            if words is not None:
+                wait = min(words.retry_after_ms, max(self._max_wait, wait))
+                body = words.body
+                headers = [(b"content-type", words.content_type.encode()), reason_header(reason), *waits(wait),
+                           (b"content-length", str(len(body)).encode()), *encoded(words.headers)]
         headers += [*self._limits(exchange.routed), *self._signed(exchange.label)]
         self._settle(exchange, status, reason, wait)
         self._out.append(ev.Reply(exchange.ticket, status, headers, body))
@@ -357,6 +403,13 @@
         }
         if wait is not None:
             fields["retry_after_ms"] = round(wait, 3)
+        runner = exchange.runner
+        if runner is not None:
+            fields["hooks"] = runner.release.version
+            if runner.has("log"):
+                assert self._points is not None
+                fields.update(self._points.fields(self._now, runner, exchange.head, routed, status,
+                                                  len(exchange.servers), self._now - exchange.arrived))
         self._out.append(ev.Note("answer", fields))
 
     def _forget(self, exchange: Exchange) -> None:
@@ -404,6 +457,8 @@
                 method=method.decode("latin-1"), path=target.partition(b"?")[0].decode("latin-1"))
             if exchange.trace is not None:
                 exchange.trace.root.attributes["class"] = routed.cls.name
+        if self._shelf is not None:
+            exchange.edition = self._shelf.edition
         self._exchanges[event.ticket] = self._rids[rid] = exchange
         self._open += 1
         self._timer(exchange.deadline, self._deadline, event.ticket)
@@ -417,6 +472,14 @@
         """Who the customer is is known: the module decides."""
         if exchange.trace is not None:
             exchange.trace.end("auth", self._now)
+        exchange.runner = runner = exchange.edition.runner(routed.key)
+        if runner is not None and runner.has("classify"):
+            assert self._points is not None
+            before, routed = routed, self._points.classify(self._now, runner, exchange.head, routed)
+            if routed.cls.deadline_ms < before.cls.deadline_ms:  # an earlier end takes effect, a later one never
+                exchange.deadline = min(exchange.deadline,
+                                        max(exchange.arrived + routed.cls.deadline_ms - self._margin, self._now))
+                self._timer(exchange.deadline, self._deadline, exchange.ticket)
         exchange.routed, exchange.told = routed, True
         self._tell(api.Request(exchange.rid, routed.cls.name, routed.plan.name, routed.customer,
                                max(exchange.deadline - self._now, 0.0), routed.units, routed.spread, routed.first))
@@ -562,6 +625,14 @@
     def _passed(self, exchange: Exchange, attempt: Attempt, whole: bool) -> None:
         headers = only_ours(attempt.headers)
         headers = [pair for pair in headers if pair[0] != self._id_header]
+        runner = exchange.runner
+        if runner is not None and runner.has("answer"):
+            assert self._points is not None
+            given = self._points.answer(self._now, runner, exchange.head, exchange.routed, attempt.status,
+                                        len(exchange.servers), self._now - exchange.arrived, headers)
+            if given:
+                names = {name for name, _ in given}
+                headers = [pair for pair in headers if pair[0] not in names] + given
         headers += [*self._limits(exchange.routed), *self._signed(exchange.label)]
         self._out.append(ev.Pass(exchange.ticket, attempt.number, attempt.status, headers, whole))
 
--- a/martenstep/door/http.py
+++ b/martenstep/door/http.py
@@ -127,14 +127,24 @@
     ]
 
 
+def waits(wait_ms: float) -> Headers:
+    """A wait, in whole seconds (RFC 9110) and exactly."""
+    return [(b"retry-after", str(math.ceil(wait_ms / SECOND_MS)).encode()),
+            (b"retry-after-ms", f"{wait_ms:.3f}".encode())]
+
+
+def reason_header(reason: str) -> tuple[bytes, bytes]:
+    """What tells clients and operators an answer of the door's own from a server's."""
+    return b"x-reason", reason.replace(" ", "-").encode()
+
+
 def own_answer(reason: str, rid: str, wait_ms: float | None) -> tuple[Headers, bytes]:
     """Headers and body of an answer of the door's own; the wait both in whole seconds and exactly."""
     told: dict[str, object] = {"reason": reason, "text": WORDS.get(reason, reason), "request": rid}
-    headers: Headers = [(b"content-type", b"application/json"), (b"x-reason", reason.replace(" ", "-").encode())]
+    headers: Headers = [(b"content-type", b"application/json"), reason_header(reason)]
     if wait_ms is not None:
         told["retry_after_ms"] = round(wait_ms, 3)
-        headers.append((b"retry-after", str(math.ceil(wait_ms / SECOND_MS)).encode()))
-        headers.append((b"retry-after-ms", f"{wait_ms:.3f}".encode()))
+        headers += waits(wait_ms)
     body = msgspec.json.encode(told) + b"\n"
     headers.append((b"content-length", str(len(body)).encode()))
     return headers, body
--- a/martenstep/door/log.py
+++ b/martenstep/door/log.py
@@ -39,6 +39,10 @@
         self._logger = logger if logger is not None else structlog.get_logger().bind(door=door)
         self._second, self._written, self._left_out = 0, 0, 0
 
+    def bound(self, log: pb.Log) -> None:
+        """Another bound of lines a second."""
+        self._bound = log.lines_per_s
+
     def note(self, event: str, fields: dict[str, Any]) -> None:
         """One line, or none past the bound."""
         if event in BOUNDED:
--- /dev/null
+++ b/martenstep/door/points.py
@@ -0,0 +1,134 @@
+"""Where hooks act on a request: what each is given, and what becomes of what it gives.
+
+No I/O.  The bounds come from the settings; `hooks.border` holds what a hook gives within them.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from martenstep.config import door_pb2 as pb
+from martenstep.door.events import Arrived, Headers
+from martenstep.door.http import header, path_of
+from martenstep.door.routes import Routed, Routes
+from martenstep.hooks import border
+from martenstep.hooks.runner import Runner
+
+# A hook reads no credential; the settings name more of them.
+SECRET = frozenset((b"authorization", b"cookie", b"proxy-authorization"))
+MOST_GIVEN = 100  # headers that a hook is given
+DEFAULT_BODY = "text/plain"
+Pairs = tuple[tuple[str, str], ...]
+
+
+def origin_form(target: bytes) -> str:
+    """A target from its path on, with the query."""
+    if target[:1] != b"/":
+        target = b"/" + target.partition(b"://")[2].partition(b"/")[2]
+    return target.partition(b"#")[0].decode("latin-1")
+
+
+def _first(value: bytes | None, cut: bytes) -> str:
+    """The first entry of a list in a header, without its parameters."""
+    return (value or b"").partition(b",")[0].partition(cut)[0].strip().decode("latin-1")
+
+
+def encoded(pairs: Pairs) -> Headers:
+    """Headers as the wire has them; the border lets nothing beyond Latin-1 pass."""
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in pairs]
+
+
+class Points:
+    """The five points of one door."""
+
+    def __init__(self, door: pb.Door, routes: Routes, secret: set[bytes], kept: set[bytes], epoch_ms: float) -> None:
+        """`secret` headers are not shown to hooks, `kept` ones not set by them; `epoch_ms` turns the engine's clock
+        into Unix time."""
+        told = door.hooks
+        self._routes, self._epoch_ms = routes, epoch_ms
+        self._secret = SECRET | secret
+        self._least, self._most = told.least_units, told.most_units or door.max_units
+        self._own_least = not told.HasField("least_units")
+        self._plans, self._customers = frozenset(told.plan), frozenset(told.customer)
+        self._prefixes = tuple(told.path_prefix)
+        self._kept = border.KEPT_HEADERS | {name.decode("latin-1").replace("_", "-") for name in secret | kept}
+        classes = routes.classes
+        self._classes = {
+            name: frozenset(other for other in getattr(told, "class")
+                            if border.may_become(cls, classes[other]))
+            for name, cls in classes.items()
+        }
+
+    def _bounds(self, routed: Routed) -> border.Bounds:
+        least = min(routed.units, self._least) if not self._own_least else routed.units
+        return border.Bounds(self._classes[routed.cls.name], self._plans, self._customers, least,
+                             max(self._most, routed.units), self._kept)
+
+    def _request(self, now: float, head: Arrived, routed: Routed) -> tuple[Any, ...]:
+        """The Request record; see hooks.types."""
+        headers = head.headers
+        shown = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in headers
+                 if name not in self._secret][:MOST_GIVEN]
+        return (head.method.decode("latin-1"), origin_form(head.target),
+                (header(headers, b"host") or b"").decode("latin-1"), routed.key, routed.plan.name, routed.cls.name,
+                float(routed.units), _first(header(headers, b"accept-language"), b";"),
+                _first(header(headers, b"accept"), b";"), shown, (now + self._epoch_ms) / 1000.0)
+
+    def classify(self, now: float, runner: Runner, head: Arrived, routed: Routed) -> Routed:
+        """Class, customer, plan and units."""
+        before = border.Placed(routed.cls.name, routed.key, routed.plan.name, routed.units)
+        bounds = self._bounds(routed)
+        placed = runner.call(now, "classify", routed.key, routed.plan.name,
+                             lambda: (self._request(now, head, routed),),
+                             lambda made: border.placed(made, before, bounds), before)
+        return routed if placed == before else self._routes.placed(routed, placed.cls, placed.customer, placed.plan,
+                                                                   placed.units)
+
+    def sending(self, now: float, runner: Runner, head: Arrived, routed: Routed) -> tuple[bytes, Headers]:
+        """Target and headers of what goes to a server: the same at each attempt, so it is asked for once."""
+        bounds, before = self._bounds(routed), origin_form(head.target)
+
+        def take(made: Any) -> tuple[bytes, Headers]:
+            path, given = border.sending(made, before, bounds)
+            if path == before:
+                return head.target, encoded(given)
+            target = path.encode("latin-1")
+            # A path of another class could be one whose repeats do what this one's may not.
+            if path_of(target) is None or (not path.startswith(self._prefixes)
+                                           and self._routes.class_at(head.method, target) != routed.cls.name):
+                raise border.BorderError(f"path {path[:64]!r}: is of another class, and below no path_prefix")
+            return target, encoded(given)
+        own: tuple[bytes, Headers] = head.target, []
+        return runner.call(now, "sending", routed.key, routed.plan.name,
+                           lambda: (self._request(now, head, routed),), take, own)
+
+    def refusal(self, now: float, runner: Runner, head: Arrived, routed: Routed, status: int, reason: str,
+                wait_ms: float) -> border.Words | None:
+        """A refusal's words; None: the door's own."""
+        bounds = self._bounds(routed)
+
+        def take(made: Any) -> border.Words | None:
+            body, kind, retry, given = made
+            return border.words((body, kind or DEFAULT_BODY, retry, given), wait_ms, bounds)
+        return runner.call(now, "refusal", routed.key, routed.plan.name,
+                           lambda: (self._request(now, head, routed), (float(status), reason, wait_ms)), take, None)
+
+    def answer(self, now: float, runner: Runner, head: Arrived, routed: Routed, status: int, attempts: int,
+               took_ms: float, headers: Headers) -> Headers:
+        """Headers that a served answer gets besides."""
+        bounds = self._bounds(routed)
+        return runner.call(now, "answer", routed.key, routed.plan.name,
+                           lambda: (self._request(now, head, routed),
+                                    (float(status), float(attempts), took_ms, self._shown(headers))),
+                           lambda made: encoded(border.headers(made, bounds)), [])
+
+    def fields(self, now: float, runner: Runner, head: Arrived, routed: Routed, status: int, attempts: int,
+               took_ms: float) -> dict[str, str]:
+        """Fields of the answer's line."""
+        return runner.call(now, "log", routed.key, routed.plan.name,
+                           lambda: (self._request(now, head, routed), (float(status), float(attempts), took_ms, [])),
+                           border.log_fields, {})
+
+    def _shown(self, headers: Headers) -> list[tuple[str, str]]:
+        return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in headers
+                if name != b"set-cookie"][:MOST_GIVEN]
--- a/martenstep/door/routes.py
+++ b/martenstep/door/routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 from urllib.parse import unquote
 
@@ -75,6 +76,7 @@
                   entry.fail_open)
             for entry in door.route
         ]
+        self.classes: Mapping[str, api.RequestClass] = self._classes
         self._deadline = door.listener.deadline_header.lower().encode()
 
     def route(self, method: bytes, target: bytes, headers: Headers) -> Routed | Guarded | Unroutable:
@@ -82,10 +84,8 @@
         path = path_of(target)
         if path is None:
             return Unroutable(400, "bad target")
-        for rule in self._rules:
-            if path.startswith(rule.prefix) and (not rule.methods or method in rule.methods):
-                break
-        else:
+        rule = self._rule(method, path)
+        if rule is None:
             return Unroutable(404, "no route")
         if rule.authenticate:
             return Guarded(rule.cls, rule.units, rule.fail_open)
@@ -97,6 +97,27 @@
             key = unquote(parts[rule.segment]) if rule.segment < len(parts) else ""
         return self._of(rule.cls, rule.units, key)
 
+    def _rule(self, method: bytes, path: str) -> _Rule | None:
+        for rule in self._rules:
+            if path.startswith(rule.prefix) and (not rule.methods or method in rule.methods):
+                return rule
+        return None
+
+    def class_at(self, method: bytes, target: bytes) -> str | None:
+        """The class of requests to a target; None where none fits."""
+        path = path_of(target)
+        rule = self._rule(method, path) if path is not None else None
+        return rule.cls.name if rule is not None else None
+
+    def placed(self, routed: Routed, cls: str, key: str, plan: str, units: float) -> Routed:
+        """A request under another class, customer, plan or units, each one that the settings know."""
+        customer, spread, first = routed.customer, routed.spread, routed.first
+        if key != routed.key:
+            customer, own, spread, first = self._customers[key]
+            plan = plan if plan != routed.plan.name else own.name  # the other customer's own, unless one was chosen
+        chosen = routed.plan if plan == routed.plan.name else self._plans[plan]
+        return Routed(self._classes[cls], chosen, customer, key, units, spread, first)
+
     def _of(self, cls: api.RequestClass, units: float, key: str, named: api.Plan | None = None) -> Routed | Unroutable:
         if not key:
             return Unroutable(403, "no customer")
--- a/martenstep/hooks/border.py
+++ b/martenstep/hooks/border.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from martenstep.interface import Effect, RequestClass
+
 MOST_BODY = 16_384  # characters of a refusal's body
 MOST_HEADERS = 16
 MOST_VALUE = 1024  # characters of one header's value, or of one field of the log
@@ -70,7 +72,7 @@
 def _header(name: str, value: str, kept: frozenset[str]) -> tuple[str, str]:
     if not TOKEN.fullmatch(name):
         raise BorderError(f"header {name[:64]!r}: not a header's name")
-    if name.lower() in kept:
+    if name.lower().replace("_", "-") in kept:  # some servers read x_customer as x-customer
         raise BorderError(f"header {name!r}: is not a hook's to set")
     if len(value) > MOST_VALUE or not VALUE.fullmatch(value):
         raise BorderError(f"header {name!r}: its value is too long, empty, or holds a control sign")
@@ -109,6 +111,15 @@
     return Words(encoded, content_type, max(retry, retry_after_ms), headers(given, bounds))
 
 
+def may_become(before: RequestClass, after: RequestClass) -> bool:
+    """Whether a request of one class may be handled as of another: never one that lets more of it be repeated."""
+    if after.effect is Effect.UNSAFE or after == before:
+        return True
+    if after.effect is not before.effect:
+        return False
+    return after.effect is Effect.SAFE or (after.group is before.group and after.window_ms <= before.window_ms)
+
+
 def placed(made: Any, before: Placed, bounds: Bounds) -> Placed:
     """A request's place: what is empty stays as it was; raises BorderError."""
     cls, customer, plan, units = made
--- a/martenstep/hooks/runner.py
+++ b/martenstep/hooks/runner.py
@@ -1,9 +1,10 @@
-"""Runs the hooks of one version at their points, and keeps what goes wrong in them from the requests.
+"""Runs the hooks of one release at their points, and keeps what goes wrong in them from the requests.
 
 No I/O, no clock.
 
 A hook that fails in any way (its budget, its time, its values, the border) costs its request nothing but the default;
-it is counted, told of within a bound, and left alone for a while once it has failed too often.
+it is counted, told of within a bound, and left alone for a while once it has failed too often.  The release as a whole
+is watched as well: see `Limits`.
 """
 
 from __future__ import annotations
@@ -11,77 +12,133 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from martenstep.hooks.border import BorderError
-from martenstep.hooks.code import Program
 from martenstep.hooks.vm import BYTES, NEVER, STEPS, Counters, HookError, Machine
 
+if TYPE_CHECKING:
+    from martenstep.hooks.releases import Hook, Release
+
 FAILURES = 10  # within a window: the hook is left alone
 WINDOW_MS = 10_000.0
 ALONE_MS = 30_000.0  # then one run is its trial
 NOTES = 3  # told of a hook within a window; the rest are counted
+BREAKS = 3  # in a row, with no good run between: a whole release is bad.  A trial is at the first
 
 T = TypeVar("T")
-Note = Callable[[str, dict[str, object]], None]
+Note = Callable[[str, dict[str, Any]], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What a release may fail and cost before it is bad, over all its hooks within a window."""
+
+    failure_share: float = 0.05
+    mean_steps: float = 400.0
+    least_runs: int = 100  # fewer prove nothing
+    window_ms: float = 60_000.0
 
 
 @dataclass(slots=True)
-class _Hook:
+class _Standing:
     """What is known of one hook."""
 
-    program: Program
+    hook: Hook
     counters: Counters = field(default_factory=Counters)
     window: float = 0.0  # when the present one began
     failures: int = 0
     alone_until: float = 0.0
     trial: bool = False
+    breaks: int = 0  # in a row
 
 
 class Runner:
-    """The hooks of one version; a request keeps the runner that it began with."""
-
-    def __init__(self, programs: dict[str, Program], note: Note, *, steps: int = STEPS, bytes_: int = BYTES,
-                 late: Callable[[], Callable[[], bool]] = lambda: NEVER) -> None:
-        """`late` is asked for a backstop at the begin of each run."""
-        self._hooks = {point: _Hook(program) for point, program in programs.items()}
-        self._note, self._steps, self._bytes, self._late = note, steps, bytes_, late
-        self.counts: Counter[str] = Counter()
+    """The hooks of one release; a request keeps the runner that it began with."""
+
+    def __init__(self, release: Release, note: Note, limits: Limits | None = None, *, steps: int = STEPS,
+                 bytes_: int = BYTES, counts: Counter[str] | None = None,
+                 late: Callable[[], Callable[[], bool]] = lambda: NEVER,
+                 bad: Callable[[Release, str], None] = lambda release, reason: None) -> None:
+        """`late` is asked for a backstop at the begin of each run; `bad` is told, once, that the release must go."""
+        self.release = release
+        self._at: dict[str, list[_Standing]] = {}
+        for hook in release.hooks:
+            self._at.setdefault(hook.point, []).append(_Standing(hook))
+        self.limits = limits or Limits()
+        self._note, self._steps, self._bytes = note, steps, bytes_
+        self._late, self._told_bad = late, bad
+        self.counts: Counter[str] = Counter() if counts is None else counts
         self.steps_used = 0
+        self._window = 0.0  # of the whole release
+        self._runs = self._failures = self._window_steps = 0
+        self._bad = False
 
     def has(self, point: str) -> bool:
         """Whether a hook stands at a point."""
-        return point in self._hooks
-
-    def call(self, now: float, point: str, given: tuple[Any, ...], take: Callable[[Any], T], default: T) -> T:
-        """What the hook at a point gives, taken in by the border; the default where there is none, or it fails."""
-        hook = self._hooks.get(point)
-        if hook is None:
+        return point in self._at
+
+    def call(self, now: float, point: str, customer: str, plan: str, given: Callable[[], tuple[Any, ...]],
+             take: Callable[[Any], T], default: T) -> T:
+        """What the hook at a point gives for a customer, taken in by the border; the default where there is none, or
+        it fails."""
+        for standing in self._at.get(point, ()):
+            if standing.hook.fits(customer, plan):
+                break
+        else:
             return default
-        if hook.alone_until > now:
+        if standing.alone_until > now:
             self.counts[f"{point} left alone"] += 1
             return default
-        if now - hook.window >= WINDOW_MS:
-            hook.window, hook.failures = now, 0
-        machine = Machine(hook.program, hook.counters, steps=self._steps, bytes_=self._bytes, late=self._late())
+        if now - standing.window >= WINDOW_MS:
+            standing.window, standing.failures = now, 0
+        if now - self._window >= self.limits.window_ms:
+            self._window = now
+            self._runs = self._failures = self._window_steps = 0
+        machine = Machine(standing.hook.program, standing.counters, steps=self._steps, bytes_=self._bytes,
+                          late=self._late())
+        self._runs += 1
         try:
-            made = take(machine.run(hook.program.points[point], given))
+            made = take(machine.run(standing.hook.program.points[point], given()))
         except (HookError, BorderError, TypeError, ValueError, AttributeError) as error:
-            self._failed(now, point, hook, error)
-            return default
-        finally:
-            self.steps_used += self._steps - max(machine.steps, 0)
-        hook.trial = False
-        self.counts[f"{point} good"] += 1
+            self._failures += 1
+            self._failed(now, point, standing, error)
+            made = default
+        else:
+            standing.trial, standing.breaks = False, 0
+            self.counts[f"{point} good"] += 1
+        used = self._steps - max(machine.steps, 0)
+        self.steps_used += used
+        self._window_steps += used
+        self._weigh()
         return made
 
-    def _failed(self, now: float, point: str, hook: _Hook, error: Exception) -> None:
+    def _failed(self, now: float, point: str, standing: _Standing, error: Exception) -> None:
         kind = error.kind if isinstance(error, HookError) else "border"
         self.counts[f"{point} {kind}"] += 1
-        hook.failures += 1
-        if hook.failures <= NOTES:
-            self._note("hook failed", {"point": point, "error": str(error)[:300]})
-        if hook.trial or hook.failures >= FAILURES:
-            hook.alone_until, hook.trial, hook.failures = now + ALONE_MS, True, 0
+        standing.failures += 1
+        told = {"version": self.release.version, "point": point, "hook": standing.hook.name}
+        if standing.failures <= NOTES:
+            self._note("hook failed", {**told, "error": str(error)[:300]})
+        if standing.trial or standing.failures >= FAILURES:
+            standing.alone_until, standing.trial, standing.failures = now + ALONE_MS, True, 0
+            standing.breaks += 1
             self.counts[f"{point} breaks"] += 1
-            self._note("hook left alone", {"point": point, "for_ms": ALONE_MS})
+            self._note("hook left alone", {**told, "for_ms": ALONE_MS})
+            if not self.release.whole or standing.breaks >= BREAKS:
+                self._now_bad(f"{standing.hook.name}: {error}"[:300])
+
+    def _weigh(self) -> None:
+        """Whether the release as a whole has passed its bounds."""
+        limits, runs = self.limits, self._runs
+        if self._bad or runs < limits.least_runs:
+            return
+        if self._failures > limits.failure_share * runs:
+            self._now_bad(f"{self._failures} of {runs} runs failed")
+        elif self._window_steps > limits.mean_steps * runs:
+            self._now_bad(f"{self._window_steps / runs:.0f} steps a run, at most {limits.mean_steps:g}")
+
+    def _now_bad(self, reason: str) -> None:
+        if not self._bad:
+            self._bad = True
+            self._told_bad(self.release, reason)
--- a/tests/door_rig.py
+++ b/tests/door_rig.py
@@ -8,6 +8,7 @@
 from martenstep.config.settings import parse_door
 from martenstep.door import events as ev
 from martenstep.door.engine import Engine
+from martenstep.hooks.releases import Shelf
 from martenstep.interface import Scope, Server, State, Verdict
 from martenstep.members.lists import Listed
 
@@ -51,8 +52,9 @@
 class Rig:
     """The engine, its clock and all actions so far."""
 
-    def __init__(self, text: str = "", servers: tuple[int, ...] = (1, 2, 3, 4), seed: int = 1) -> None:
-        self.engine = Engine(settings(text), seed)
+    def __init__(self, text: str = "", servers: tuple[int, ...] = (1, 2, 3, 4), seed: int = 1,
+                 shelf: Shelf | None = None) -> None:
+        self.engine = Engine(settings(text), seed, shelf)
         self.now = START
         self.did: list[ev.Action] = []
         self._ticket = 0
--- /dev/null
+++ b/tests/test_config_changes.py
@@ -0,0 +1,79 @@
+"""What differs between two settings is named, each field of the schema, and what needs a restart is."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from google.protobuf.descriptor import FieldDescriptor
+
+from martenstep.config import door_pb2 as pb
+from martenstep.config.changes import LIVE, PARTS, differences
+from tests.door_rig import settings
+
+
+def fields(descriptor: Any = pb.Door.DESCRIPTOR, prefix: str = "") -> list[tuple[str, Any]]:
+    """Every field of the schema but those within lists, by path."""
+    made = []
+    for field in descriptor.fields:
+        made.append((prefix + field.name, field))
+        if field.message_type is not None and not field.is_repeated:
+            made += fields(field.message_type, f"{prefix}{field.name}.")
+    return made
+
+
+def change(door: pb.Door, path: str, field: Any) -> None:
+    """Give a field another value."""
+    *parents, name = path.split(".")
+    message: Any = door
+    for parent in parents:
+        message = getattr(message, parent)
+    if field.is_repeated:
+        if field.message_type is not None:
+            getattr(message, name).add()
+        else:
+            getattr(message, name).append("x" if field.cpp_type == FieldDescriptor.CPPTYPE_STRING else 1)
+    elif field.message_type is not None:
+        getattr(message, name).SetInParent()
+    else:
+        value = getattr(message, name)
+        setattr(message, name, not value if isinstance(value, bool) else
+                value + "x" if isinstance(value, str) else
+                next(n for n in field.enum_type.values_by_number if n != value) if field.enum_type is not None else
+                value + 1)
+
+
+@pytest.mark.parametrize(("path", "field"), fields(), ids=[path for path, _ in fields()])
+def test_a_change_of_any_field_is_named(path: str, field: Any) -> None:
+    before, after = settings("hooks {}"), settings("hooks {}")
+    change(after, path, field)
+    found = differences(before, after)
+    if not field.is_repeated and field.message_type is not None:
+        there = path.split(".")[0] in ("store", "members", "hooks") and "." not in path
+        assert bool(found) == (field.name in PARTS and not there)
+    else:
+        named = [one for one in found if one.path == path or path.startswith(one.path + ".")]
+        assert named and named == found and named[0].live == (path in LIVE)
+    assert not differences(after, after) and all(one.before != one.after for one in found)
+
+
+def test_all_that_is_called_live_is_in_the_schema() -> None:
+    assert {path for path, _ in fields()} >= LIVE
+
+
+def test_entries_of_lists_are_named_and_secrets_are_not() -> None:
+    before = settings("forward_auth { secret: 'one' }")
+    after = settings("forward_auth { secret: 'two' } customer { key: 'new' plan: 'open' }")
+    after.customer[0].plan = "open"
+    told = {one.path: one.told() for one in differences(before, after)}
+    assert told["customer"] == "customer: 2 entries ('anna') -> 3 entries ('new', 'anna')"
+    assert "two" not in told["forward_auth.secret"] and "one" not in told["forward_auth.secret"]
+
+
+def test_the_order_of_routes_is_a_difference() -> None:
+    before, after = settings(), settings()
+    first = pb.Route()
+    first.CopyFrom(after.route[0])
+    del after.route[0]
+    after.route.append(first)
+    assert [one.told() for one in differences(before, after)] == ["route: 3 entries -> 3 entries in another order"]
--- a/tests/test_hooks_cli.py
+++ b/tests/test_hooks_cli.py
@@ -9,6 +9,7 @@
 from click.testing import CliRunner
 
 from martenstep.cli.main import cli
+from martenstep.hooks.files import History
 
 GOOD = '''# Words for the studios.
 fn words(r: Request) -> text {
@@ -86,3 +87,35 @@
     code, output = call("run", str(file), "--request", str(given))
     assert code == 2 and told in output
     assert call("check", str(tmp_path / "none"))[0] == 2
+
+
+def test_a_release_from_its_key_to_its_history(tmp_path: Path) -> None:
+    drafts, hooks, key = tmp_path / "drafts", str(tmp_path / "hooks"), str(tmp_path / "key.pem")
+    drafts.mkdir()
+    (drafts / "words.hook").write_text(GOOD)
+    public = call("key", key)[1].strip()
+    assert call("key", key)[0] == 2  # a key is never written over
+    status, told = call("publish", str(drafts), hooks, "--version", "1", "--sign", key)
+    assert status == 0 and "version 1" in told
+    assert call("publish", str(drafts), hooks, "--version", "2", "--share", "0.5", "--trial-customer", "anna")[0] == 0
+    status, told = call("list", hooks, "--customer", "anna")
+    assert status == 0 and "1: acts; share 1; refusal (words.hook)" in told
+    assert "2: on trial; share 0.5" in told and "anna: 2" in told
+    status, told = call("list", hooks, "--key", public)
+    assert status == 1 and "cannot be taken: 2: is not signed" in told
+    history = str(tmp_path / "h.jsonl")
+    History(tmp_path / "h.jsonl", "door-0").add("hooks withdrawn", {"version": 2, "reason": "it failed"})
+    assert "2: withdrawn" in call("list", hooks, "--history", history)[1]
+    assert "door-0: hooks withdrawn: version 2, reason it failed" in call("history", history)[1]
+
+
+@pytest.mark.parametrize("words", [
+    ("list", "gone"), ("list", ".", "--key", "xyz"), ("history", "gone"),
+    ("publish", "gone", "there", "--version", "0"),
+    ("publish", "gone", "there", "--version", "1", "--sign", "gone.pem"),
+])
+def test_bad_words_for_releases_are_told_in_a_line(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                                    words: tuple[str, ...]) -> None:
+    monkeypatch.chdir(tmp_path)
+    status, told = call(*words)
+    assert status == 2 and "Error: " in told and "Traceback" not in told
--- /dev/null
+++ b/tests/test_hooks_points.py
@@ -0,0 +1,200 @@
+"""Hooks on the door's own requests: what each point changes, and that no hook holds, breaks or loosens one."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from martenstep.door import events as ev
+from martenstep.door.events import Ending
+from martenstep.hooks.runner import Limits
+from tests.door_rig import QUIET, START, head
+from tests.hook_rig import HookRig, release, words
+
+LOOP = words("text(for x in range(100000), n = 0 { n + 1 })")
+OPEN = ('hooks { class: "read" class: "pay" class: "write" plan: "open" customer: "free" most_units: 4 '
+        'path_prefix: "/inside/" } ')
+
+
+def refused(rig: HookRig, customer: str = "anna") -> ev.Reply:
+    """The first request of a customer that is refused for its quota."""
+    for _ in range(40):
+        ticket = rig.ask(customer=customer, accept_language="de-AT, en;q=0.5", accept="text/html;q=1, */*")
+        rig.count_all(0.0)
+        found = rig.of(ev.Reply, ticket)
+        if found:
+            return found[0]
+        rig.serve(ticket)
+    raise AssertionError("nothing was refused")
+
+
+def test_a_refusal_is_worded_and_stays_a_refusal() -> None:
+    rig = HookRig(release(3, 'on refusal(r, why) { Words { body: "${r.customer} ${r.language} ${r.accept} '
+                             '${why.status} ${why.reason} ${r.time}", content_type: "text/html", retry_after: 1ms, '
+                             'headers: [Header { name: "X-Help", value: "/help" }] } }'))
+    reply = refused(rig)
+    assert reply.status == 429 and reply.body == f"anna de-AT text/html 429 quota {START / 1000:.15g}".encode()
+    assert head(reply, "content-type") == "text/html" and head(reply, "x-help") == "/help"
+    assert head(reply, "content-length") == str(len(reply.body)) and head(reply, "x-reason") == "quota"
+    own = refused(HookRig())
+    assert head(reply, "retry-after-ms") == head(own, "retry-after-ms")  # 1 ms would be earlier
+    assert float(head(own, "retry-after-ms") or 0) > 1
+    [line] = [note for note in rig.of(ev.Note) if note.event == "answer" and note.fields["status"] == 429]
+    assert line.fields["hooks"] == 3 and rig.quiet() == QUIET
+
+
+def test_a_later_return_is_a_hooks_to_ask_for_up_to_the_settings_most() -> None:
+    rig = HookRig(release(1, 'on refusal(r, why) { Words { body: "", content_type: "", retry_after: 10m } }'),
+                  text="max_retry_after_ms: 30000")
+    reply = refused(rig)
+    assert head(reply, "retry-after-ms") == "30000.000" and head(reply, "content-type") == "text/plain"
+
+
+@pytest.mark.parametrize(("source", "kind"), [
+    (LOOP, "steps"),
+    (words('for x in range(40), s = "ab" { s + s }'), "bytes"),
+    (words("text(1 / 0)"), "number"),
+    (words("text([1][5])"), "index"),
+    ('on refusal(r, why) { Words { body: "x", content_type: "text/plain", headers: [Header { name: "x-a", '
+     'value: "1\\nset-cookie: a" }] } }', "border"),
+    ('on refusal(r, why) { Words { body: "x", content_type: "text/plain", headers: [Header { name: "x_customer", '
+     'value: "anna" }] } }', "border"),
+])
+def test_a_refusal_hook_that_fails_leaves_the_doors_own_words(source: str, kind: str) -> None:
+    rig = HookRig(release(1, source))
+    reply = refused(rig)
+    assert reply.status == 429 and json.loads(reply.body)["reason"] == "quota"
+    assert rig.shelf.counts == {f"refusal {kind}": 1} and rig.quiet() == QUIET
+    assert len(rig.finals(reply.ticket)) == 1
+
+
+def test_a_hook_that_stands_still_ends_at_the_hosts_backstop() -> None:
+    rig = HookRig(release(1, words('for x in range(1000), s = "" { s }')), late=lambda: lambda: True)
+    assert json.loads(refused(rig).body)["reason"] == "quota" and rig.shelf.counts == {"refusal late": 1}
+
+
+def test_every_refusal_fails_and_each_request_still_has_its_one_answer() -> None:
+    rig = HookRig(release(1, LOOP), limits=Limits(least_runs=1000))
+    refusals = 0
+    for _ in range(200):
+        ticket = rig.ask(customer="anna")
+        rig.count_all(0.0)
+        if rig.of(ev.Open, ticket):
+            rig.serve(ticket)
+        refusals += bool(rig.of(ev.Reply, ticket))
+        assert len(rig.finals(ticket)) == 1
+    assert refusals >= 150 and rig.shelf.counts["refusal steps"] == 10  # then it is left alone
+    assert rig.shelf.counts["refusal left alone"] == refusals - 10 and rig.quiet() == QUIET
+
+
+def test_classify_moves_a_request_within_what_the_settings_leave_open() -> None:
+    rig = HookRig(release(1, 'on classify(r) { Class { class: "pay", customer: "free", units: 3 } }'), text=OPEN)
+    ticket = rig.ask(customer="anna")
+    rig.serve(ticket)
+    [line] = [note.fields for note in rig.of(ev.Note) if note.event == "answer"]
+    assert (line["class"], line["customer"], line["plan"]) == ("pay", "free", "open")
+
+
+@pytest.mark.parametrize("made", [
+    'class: "read"',  # of a request of "pay": it could be repeated then
+    'class: "write"',
+    'customer: "anna"', 'plan: "plain"', "units: 1", "units: 5", "units: 0 - 1",
+])
+def test_classify_loosens_nothing(made: str) -> None:
+    rig = HookRig(release(1, f"on classify(r) {{ Class {{ {made} }} }}"), text=OPEN)
+    ticket = rig.ask("/pay/1", customer="free")
+    rig.end(ticket, Ending.CLOSED)  # an attempt that may have run
+    [line] = [note.fields for note in rig.of(ev.Note) if note.event == "answer"]
+    assert (line["class"], line["customer"], line["plan"], line["attempts"]) == ("pay", "free", "open", 1)
+    assert rig.shelf.counts == {"classify border": 1}
+
+
+def test_a_class_with_an_earlier_end_ends_earlier_and_never_later() -> None:
+    text = OPEN + ('class { name: "short" aim_ms: 100 deadline_ms: 500 } '
+                   'class { name: "long" aim_ms: 1 deadline_ms: 9000 }')
+    for name, ends in (("short", 500.0), ("long", 4000.0)):
+        rig = HookRig(release(1, f'on classify(r) {{ Class {{ class: "{name}" }} }}'),
+                      text=text + f' hooks {{ class: "{name}" }}')
+        ticket = rig.ask(customer="free")
+        assert head(rig.opened(ticket), "x-deadline-ms") == f"{ends:.0f}"
+        rig.pass_time(ends)
+        assert rig.reply(ticket).status in (503, 504) and rig.quiet() == QUIET
+
+
+def test_what_is_sent_is_the_same_at_each_attempt() -> None:
+    rig = HookRig(release(1, 'on sending(r) { Sending { path: "/inside/${count("n")}", headers: '
+                             '[Header { name: "x-studio", value: r.customer }, '
+                             'Header { name: "accept", value: "a/b" }] } }'),
+                  text=OPEN)
+    ticket = rig.ask(accept="image/png")
+    first = rig.opened(ticket)
+    rig.end(ticket, Ending.CLOSED)
+    second = rig.opened(ticket)
+    assert (first.attempt, second.attempt) == (0, 1) and first.target == second.target == b"/inside/1"
+    assert head(second, "x-studio") == "free" and [v for n, v in second.headers if n == b"accept"] == [b"a/b"]
+    rig.serve(ticket)
+    assert rig.shelf.counts == {"sending good": 1}
+
+
+@pytest.mark.parametrize("path", ["/pay/1", "/nowhere", "/inside/../pay/1", "/inside/%2e%2e/pay", "/in side",
+                                  "inside/1"])
+def test_a_path_of_another_class_is_not_sent(path: str) -> None:
+    rig = HookRig(release(1, f'on sending(r) {{ Sending {{ path: "{path}" }} }}'), text=OPEN)
+    assert rig.opened(rig.ask("/read/7?a=b")).target == b"/read/7?a=b"
+    assert rig.shelf.counts == {"sending border": 1}
+
+
+def test_a_path_of_the_same_class_may_be_sent() -> None:
+    rig = HookRig(release(1, 'on sending(r) { Sending { path: replace(r.path, "old", "new") } }'))
+    assert rig.opened(rig.ask("/read/old?a=b")).target == b"/read/new?a=b"
+
+
+@pytest.mark.parametrize("name", ["x-customer", "X-Request-Id", "idempotency-key", "x-attempt", "x_deadline_ms",
+                                  "host"])
+def test_headers_that_say_who_and_how_often_are_no_hooks(name: str) -> None:
+    rig = HookRig(release(1, f'on sending(r) {{ Sending {{ headers: [Header {{ name: "{name}", value: "1" }}] }} }}'))
+    rig.ask("/write/free/1", method="POST")
+    assert rig.shelf.counts == {"sending border": 1}
+
+
+def test_answers_get_headers_and_lines_get_fields() -> None:
+    rig = HookRig(release(1, 'on answer(r, a) { [Header { name: "etag", value: header(a.headers, "etag") + "!" }] }',
+                          'on log(r, a) { [Field { name: "studio", '
+                          'value: "${r.customer} ${a.status} ${a.attempts}" }] }'))
+    ticket = rig.ask()
+    rig.serve(ticket, 201, [(b"etag", b"e")])
+    [passed] = rig.of(ev.Pass, ticket)
+    assert [value for name, value in passed.headers if name == b"etag"] == [b"e!"]
+    [line] = [note.fields for note in rig.of(ev.Note) if note.event == "answer"]
+    assert line["hook_studio"] == "free 201 1"
+
+
+def test_a_hook_reads_no_credential() -> None:
+    rig = HookRig(release(1, 'on sending(r) { Sending { headers: [Header { name: "x-seen", value: '
+                             'header(r.headers, "cookie") + header(r.headers, "authorization") + "none" }] } }'))
+    assert head(rig.opened(rig.ask(cookie="secret", authorization="secret")), "x-seen") == "none"
+
+
+def test_a_thousand_requests_keep_the_hooks_that_they_began_with() -> None:
+    source = 'on answer(r, a) {{ [Header {{ name: "x-release", value: "{}" }}] }}'
+    rig = HookRig(release(1, source.format("one")), servers=tuple(range(1, 301)))
+    tickets = [rig.ask() for _ in range(1000)]
+    inside = [ticket for ticket in tickets if rig.of(ev.Open, ticket) and not rig.finals(ticket)]
+    rig.shelf.stock([release(1, source.format("one")), release(2, source.format("two"))])
+    late = rig.ask()
+    for ticket in [*inside, late]:
+        if not rig.finals(ticket):
+            rig.serve(ticket)
+    made = {action.ticket: head(action, "x-release") for action in rig.of(ev.Pass)}
+    assert len(inside) > 100 and all(made[ticket] == "one" for ticket in inside) and rig.quiet() == QUIET
+    newest = rig.ask()
+    rig.serve(newest)
+    assert head(rig.of(ev.Pass, newest)[0], "x-release") == "two"
+
+
+def test_a_hook_for_some_leaves_the_others_alone() -> None:
+    rig = HookRig(release(1, words('"for anna"'), customers=("anna",)))
+    assert refused(rig).body == b"for anna"
+    other = HookRig(release(1, words('"for bert"'), customers=("bert",)))
+    assert json.loads(refused(other).body)["reason"] == "quota" and not other.shelf.counts
--- a/tests/test_hooks_runner.py
+++ b/tests/test_hooks_runner.py
@@ -9,6 +9,7 @@
 
 from martenstep.hooks import border
 from martenstep.hooks.code import Program, compile_source
+from martenstep.hooks.releases import Hook, Release
 from martenstep.hooks.runner import ALONE_MS, FAILURES, NOTES, WINDOW_MS, Runner
 from martenstep.hooks.vm import STEPS, HookError, Machine
 
@@ -25,10 +26,11 @@
         self.notes: list[str] = []
         self.now = 1_000_000.0
         program = compile_source(f"on refusal(r, why) {{ {body} }}")
-        self.runner = Runner({"refusal": program}, lambda what, fields: self.notes.append(what), **changes)
+        release = Release(1, "", (Hook("refusal", "words.hook", program),))
+        self.runner = Runner(release, lambda what, fields: self.notes.append(what), **changes)
 
     def refuse(self, given: tuple[Any, ...] = (REQUEST, REFUSAL)) -> border.Words:
-        return self.runner.call(self.now, "refusal", given,
+        return self.runner.call(self.now, "refusal", "anna", "studio", lambda: given,
                                 lambda made: border.words(made, 2500.0, border.Bounds()), DEFAULT)
 
 
@@ -93,7 +95,7 @@
 def test_a_point_without_a_hook_is_its_default() -> None:
     desk = Desk("Words {}")
     assert desk.runner.has("refusal") and not desk.runner.has("log")
-    assert desk.runner.call(0.0, "log", (), lambda made: made, "x") == "x" and not desk.runner.counts
+    assert desk.runner.call(0.0, "log", "", "", tuple, lambda made: made, "x") == "x" and not desk.runner.counts
 
 
 def test_a_run_that_is_cut_off_is_charged_in_full() -> None:
