--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -20,6 +20,8 @@
 from pathlib import Path
 from typing import Any
 
+from martenstep.hooks.files import publish
+
 DOOR = """
 name: "door-0" instance: 0 instances: 1 zone: "a"
 listener {{ port: 0 max_connections: 20000 }} admin {{ port: 0 }}
@@ -32,6 +34,18 @@
 {auth}
 route {{ path_prefix: "/read/" class: "read" {identity} }}
 """
+# What staff would write: a header for the servers, one for the clients, a field of the line.
+TYPICAL = (
+    'fn group(r: Request) -> text { match r.plan { "studio" | "agency" -> "large", _ -> "small" } } '
+    'on sending(r) { Sending { headers: [Header { name: "x-group", value: group(r) }] } }',
+    'on answer(r, a) { if a.attempts > 1 { [Header { name: "x-tried", value: "${a.attempts}" }] } else { [] } }',
+    'on log(r, a) { if starts_with(r.path, "/read/") { [Field { name: "area", value: "read" }] } else { [] } }',
+)
+HOOKS = {
+    "empty hooks": ("on sending(r) { Sending {} }", "on answer(r, a) { [] }", "on log(r, a) { [] }"),
+    "three hooks": TYPICAL,
+    "one of the hooks": (TYPICAL[1],),
+}
 CORE, SERVERS, LOADS, OTHERS = 0, "1,2", ("3", "4"), "5"
 WARM_S = 1.5
 Started = tuple[subprocess.Popen[str], Any]
@@ -102,10 +116,25 @@
     share = 1.0 if "traced all" in kind else 0.01
     if "traced" in kind:
         guarded += f' tracing {{ file: "{folder}/traces.jsonl" share: {share} }}'
+    if "hooks" in kind:
+        guarded += f' hooks {{ directory: "{hooks(folder, HOOKS[kind.rpartition(", ")[2]])}" }}'
+    if "workers" in kind:
+        guarded += f" workers {{ count: {int(kind.split()[-2])} share: {'REUSE_PORT' if 'own' in kind else 'PASSED'} }}"
     file.write_text(DOOR.format(store=told, feed=feed, plan=plan, auth=guarded, identity=identity))
     return start(str(CORE), "-m", "martenstep", "serve", str(file), *(["--uvloop"] if "uvloop" in kind else []))
 
 
+def hooks(folder: Path, sources: tuple[str, ...]) -> Path:
+    """A directory with one release of these hooks."""
+    made = folder / f"hooks-{len(list(folder.iterdir()))}"
+    drafts = made / "drafts"
+    drafts.mkdir(parents=True)
+    for number, source in enumerate(sources):
+        (drafts / f"h{number}.hook").write_text(source)
+    publish(drafts, made / "releases", 1)
+    return made / "releases"
+
+
 def resident_kb(pid: int) -> int:
     """Resident memory of a process, in KiB."""
     status = Path(f"/proc/{pid}/status").read_text()
--- a/martenstep/__main__.py
+++ b/martenstep/__main__.py
@@ -1,5 +1,18 @@
-"""`python -m martenstep`."""
+"""`python -m martenstep`, and the command that is installed."""
 
-from martenstep.cli.main import main
+from __future__ import annotations
 
-main()
+import sys
+
+from martenstep.supervise import early
+
+
+def main() -> None:
+    """Mind signals first, since the imports take their time; then the command line."""
+    early.arm(sys.argv[1:])
+    from martenstep.cli.main import main as commands
+    commands()
+
+
+if __name__ == "__main__":
+    main()
--- a/martenstep/cli/hooks.py
+++ b/martenstep/cli/hooks.py
@@ -13,6 +13,7 @@
 from martenstep.cli.words import example
 from martenstep.hooks import files
 from martenstep.hooks.code import Program, compile_source
+from martenstep.hooks.fast import translate
 from martenstep.hooks.fmt import format_file
 from martenstep.hooks.releases import choose
 from martenstep.hooks.syntax import HookFault, parse
@@ -144,7 +145,7 @@
     """Run one hook of FILE on an example and tell what it gives and costs."""
     program = _compiled(file)
     point = _point(program, point, file)
-    machine = Machine(program)
+    machine = Machine(program, fast=translate(program))
     try:
         made = machine.run(program.points[point], _given(point, request))
     except HookError as error:
@@ -161,10 +162,11 @@
     failed = count = 0
     for file in files:
         program = _compiled(file)
+        fast = translate(program)
         for title, number in program.tests:
             count += 1
             try:
-                good, why = Machine(program).run(number, ()) is True, "false"
+                good, why = Machine(program, fast=fast).run(number, ()) is True, "false"
             except HookError as error:
                 good, why = False, str(error)
             if not good:
@@ -266,10 +268,10 @@
     point = _point(program, point, file)
     given = _given(point, request)
     took = []
-    steps = 0
+    steps, fast = 0, translate(program)
     try:
         for _ in range(ROUNDS):
-            machine = Machine(program)
+            machine = Machine(program, fast=fast)
             begin = time.perf_counter()
             machine.run(program.points[point], given)
             took.append((time.perf_counter() - begin) * 1e6)
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -60,7 +60,8 @@
     """One client request, from its head to the end of its last attempt."""
 
     __slots__ = ("arrived", "attempt", "credential", "deadline", "edition", "guarded", "head", "label", "one_attempt",
-                 "rid", "routed", "runner", "sending", "servers", "settled", "ticket", "timed_out", "told", "trace",
+                 "rid", "routed", "runner", "sending", "servers", "settled",
+                 "shown", "shown_as", "ticket", "timed_out", "told", "trace",
                  "verdict")
 
     def __init__(self, arrived: ev.Arrived, routed: Routed, rid: str, label: str, now: float,
@@ -79,6 +80,8 @@
         self.one_attempt = False  # its body cannot be written again
         self.edition: Edition = EMPTY  # the hooks that act at its begin
         self.runner: Runner | None = None  # those of them that are its customer's
+        self.shown: tuple[Any, ...] | None = None  # the record that hooks are given,
+        self.shown_as: Routed | None = None  # and what the request was then
         self.sending: tuple[bytes, ev.Headers] | None = None  # what a hook made of its target, for all attempts
         self.timed_out = False
 
@@ -284,7 +287,7 @@
         if exchange.runner is not None and exchange.runner.has("sending"):
             assert self._points is not None
             if exchange.sending is None:
-                exchange.sending = self._points.sending(self._now, exchange.runner, head, exchange.routed)
+                exchange.sending = self._points.sending(self._now, exchange.runner, exchange)
             target, given = exchange.sending
             if given:
                 names = {name for name, _ in given}
@@ -371,7 +374,7 @@
         runner = exchange.runner or exchange.edition.runner(exchange.routed.key)
         if wait is not None and runner is not None and runner.has("refusal"):
             assert self._points is not None
-            words = self._points.refusal(self._now, runner, exchange.head, exchange.routed, status, reason, wait)
+            words = self._points.refusal(self._now, runner, exchange, status, reason, wait)
             if words is not None:
                 wait = min(words.retry_after_ms, max(self._max_wait, wait))
                 body = words.body
@@ -408,7 +411,7 @@
             fields["hooks"] = runner.release.version
             if runner.has("log"):
                 assert self._points is not None
-                fields.update(self._points.fields(self._now, runner, exchange.head, routed, status,
+                fields.update(self._points.fields(self._now, runner, exchange, status,
                                                   len(exchange.servers), self._now - exchange.arrived))
         self._out.append(ev.Note("answer", fields))
 
@@ -475,7 +478,8 @@
         exchange.runner = runner = exchange.edition.runner(routed.key)
         if runner is not None and runner.has("classify"):
             assert self._points is not None
-            before, routed = routed, self._points.classify(self._now, runner, exchange.head, routed)
+            exchange.routed = before = routed
+            routed = self._points.classify(self._now, runner, exchange)
             if routed.cls.deadline_ms < before.cls.deadline_ms:  # an earlier end takes effect, a later one never
                 exchange.deadline = min(exchange.deadline,
                                         max(exchange.arrived + routed.cls.deadline_ms - self._margin, self._now))
@@ -628,7 +632,7 @@
         runner = exchange.runner
         if runner is not None and runner.has("answer"):
             assert self._points is not None
-            given = self._points.answer(self._now, runner, exchange.head, exchange.routed, attempt.status,
+            given = self._points.answer(self._now, runner, exchange, attempt.status,
                                         len(exchange.servers), self._now - exchange.arrived, headers)
             if given:
                 names = {name for name, _ in given}
--- a/martenstep/door/points.py
+++ b/martenstep/door/points.py
@@ -5,11 +5,11 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Protocol
 
 from martenstep.config import door_pb2 as pb
 from martenstep.door.events import Arrived, Headers
-from martenstep.door.http import header, path_of
+from martenstep.door.http import path_of
 from martenstep.door.routes import Routed, Routes
 from martenstep.hooks import border
 from martenstep.hooks.runner import Runner
@@ -28,9 +28,9 @@
     return target.partition(b"#")[0].decode("latin-1")
 
 
-def _first(value: bytes | None, cut: bytes) -> str:
+def _first(value: bytes) -> str:
     """The first entry of a list in a header, without its parameters."""
-    return (value or b"").partition(b",")[0].partition(cut)[0].strip().decode("latin-1")
+    return str(value.partition(b",")[0].partition(b";")[0].strip(), "latin-1") if value else ""
 
 
 def encoded(pairs: Pairs) -> Headers:
@@ -38,6 +38,16 @@
     return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in pairs]
 
 
+class Subject(Protocol):
+    """A request, as far as hooks have to do with it."""
+
+    head: Arrived
+    routed: Routed
+    arrived: float
+    shown: tuple[Any, ...] | None  # the record that hooks were given last,
+    shown_as: Routed | None  # and what it was then
+
+
 class Points:
     """The five points of one door."""
 
@@ -53,6 +63,7 @@
         self._prefixes = tuple(told.path_prefix)
         self._kept = border.KEPT_HEADERS | {name.decode("latin-1").replace("_", "-") for name in secret | kept}
         classes = routes.classes
+        self._known: dict[tuple[str, float], border.Bounds] = {}
         self._classes = {
             name: frozenset(other for other in getattr(told, "class")
                             if border.may_become(cls, classes[other]))
@@ -60,32 +71,53 @@
         }
 
     def _bounds(self, routed: Routed) -> border.Bounds:
+        found = self._known.get((routed.cls.name, routed.units))
+        if found is None:  # as many as there are routes
+            found = self._known[routed.cls.name, routed.units] = self._bounds_of(routed)
+        return found
+
+    def _bounds_of(self, routed: Routed) -> border.Bounds:
         least = min(routed.units, self._least) if not self._own_least else routed.units
         return border.Bounds(self._classes[routed.cls.name], self._plans, self._customers, least,
                              max(self._most, routed.units), self._kept)
 
-    def _request(self, now: float, head: Arrived, routed: Routed) -> tuple[Any, ...]:
-        """The Request record; see hooks.types."""
-        headers = head.headers
-        shown = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in headers
-                 if name not in self._secret][:MOST_GIVEN]
-        return (head.method.decode("latin-1"), origin_form(head.target),
-                (header(headers, b"host") or b"").decode("latin-1"), routed.key, routed.plan.name, routed.cls.name,
-                float(routed.units), _first(header(headers, b"accept-language"), b";"),
-                _first(header(headers, b"accept"), b";"), shown, (now + self._epoch_ms) / 1000.0)
-
-    def classify(self, now: float, runner: Runner, head: Arrived, routed: Routed) -> Routed:
+    def _request(self, subject: Subject) -> tuple[Any, ...]:
+        """The Request record (see hooks.types), made once for all points as long as the request stays where it is."""
+        routed = subject.routed
+        if subject.shown is None or subject.shown_as is not routed:
+            head = subject.head
+            host = language = accept = b""
+            shown = []
+            for name, value in head.headers:
+                if name == b"host":
+                    host = host or value
+                elif name == b"accept-language":
+                    language = language or value
+                elif name == b"accept":
+                    accept = accept or value
+                elif name in self._secret:
+                    continue
+                shown.append((str(name, "latin-1"), str(value, "latin-1")))
+            subject.shown_as = routed
+            subject.shown = (str(head.method, "latin-1"), origin_form(head.target), str(host, "latin-1"), routed.key,
+                             routed.plan.name, routed.cls.name, float(routed.units), _first(language), _first(accept),
+                             shown[:MOST_GIVEN], (subject.arrived + self._epoch_ms) / 1000.0)
+        return subject.shown
+
+    def classify(self, now: float, runner: Runner, subject: Subject) -> Routed:
         """Class, customer, plan and units."""
+        routed = subject.routed
         before = border.Placed(routed.cls.name, routed.key, routed.plan.name, routed.units)
         bounds = self._bounds(routed)
         placed = runner.call(now, "classify", routed.key, routed.plan.name,
-                             lambda: (self._request(now, head, routed),),
+                             lambda: (self._request(subject),),
                              lambda made: border.placed(made, before, bounds), before)
         return routed if placed == before else self._routes.placed(routed, placed.cls, placed.customer, placed.plan,
                                                                    placed.units)
 
-    def sending(self, now: float, runner: Runner, head: Arrived, routed: Routed) -> tuple[bytes, Headers]:
+    def sending(self, now: float, runner: Runner, subject: Subject) -> tuple[bytes, Headers]:
         """Target and headers of what goes to a server: the same at each attempt, so it is asked for once."""
+        head, routed = subject.head, subject.routed
         bounds, before = self._bounds(routed), origin_form(head.target)
 
         def take(made: Any) -> tuple[bytes, Headers]:
@@ -100,35 +132,38 @@
             return target, encoded(given)
         own: tuple[bytes, Headers] = head.target, []
         return runner.call(now, "sending", routed.key, routed.plan.name,
-                           lambda: (self._request(now, head, routed),), take, own)
+                           lambda: (self._request(subject),), take, own)
 
-    def refusal(self, now: float, runner: Runner, head: Arrived, routed: Routed, status: int, reason: str,
+    def refusal(self, now: float, runner: Runner, subject: Subject, status: int, reason: str,
                 wait_ms: float) -> border.Words | None:
         """A refusal's words; None: the door's own."""
+        routed = subject.routed
         bounds = self._bounds(routed)
 
         def take(made: Any) -> border.Words | None:
             body, kind, retry, given = made
             return border.words((body, kind or DEFAULT_BODY, retry, given), wait_ms, bounds)
         return runner.call(now, "refusal", routed.key, routed.plan.name,
-                           lambda: (self._request(now, head, routed), (float(status), reason, wait_ms)), take, None)
+                           lambda: (self._request(subject), (float(status), reason, wait_ms)), take, None)
 
-    def answer(self, now: float, runner: Runner, head: Arrived, routed: Routed, status: int, attempts: int,
+    def answer(self, now: float, runner: Runner, subject: Subject, status: int, attempts: int,
                took_ms: float, headers: Headers) -> Headers:
         """Headers that a served answer gets besides."""
+        routed = subject.routed
         bounds = self._bounds(routed)
         return runner.call(now, "answer", routed.key, routed.plan.name,
-                           lambda: (self._request(now, head, routed),
+                           lambda: (self._request(subject),
                                     (float(status), float(attempts), took_ms, self._shown(headers))),
                            lambda made: encoded(border.headers(made, bounds)), [])
 
-    def fields(self, now: float, runner: Runner, head: Arrived, routed: Routed, status: int, attempts: int,
+    def fields(self, now: float, runner: Runner, subject: Subject, status: int, attempts: int,
                took_ms: float) -> dict[str, str]:
         """Fields of the answer's line."""
+        routed = subject.routed
         return runner.call(now, "log", routed.key, routed.plan.name,
-                           lambda: (self._request(now, head, routed), (float(status), float(attempts), took_ms, [])),
+                           lambda: (self._request(subject), (float(status), float(attempts), took_ms, [])),
                            border.log_fields, {})
 
     def _shown(self, headers: Headers) -> list[tuple[str, str]]:
-        return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in headers
-                if name != b"set-cookie"][:MOST_GIVEN]
+        return [(str(name, "latin-1"), str(value, "latin-1")) for name, value in headers[:MOST_GIVEN]
+                if name != b"set-cookie"]
--- a/martenstep/hooks/border.py
+++ b/martenstep/hooks/border.py
@@ -85,6 +85,8 @@
 
 def headers(made: Sequence[Any], bounds: Bounds) -> tuple[tuple[str, str], ...]:
     """Headers that a hook adds; raises BorderError."""
+    if not made:
+        return ()
     if len(made) > MOST_HEADERS:
         raise BorderError(f"{len(made)} headers, at most {MOST_HEADERS}")
     found = tuple(_header(name, value, bounds.kept_headers) for name, value in made)
@@ -144,6 +146,8 @@
 
 def log_fields(made: Sequence[Any]) -> dict[str, str]:
     """Fields of a log line, under names of their own; raises BorderError."""
+    if not made:
+        return {}
     if len(made) > MOST_FIELDS:
         raise BorderError(f"{len(made)} fields, at most {MOST_FIELDS}")
     found: dict[str, str] = {}
--- a/martenstep/hooks/code.py
+++ b/martenstep/hooks/code.py
@@ -346,6 +346,11 @@
 
 
 def _verify_function(program: Program, function: Function) -> None:
+    heights_of(program, function)
+
+
+def heights_of(program: Program, function: Function) -> dict[int, int]:
+    """How high the stack is before each instruction that can be reached; raises CodeError."""
     code = function.code
     if not 0 < len(code) <= MOST_CODE or not 0 <= function.params <= function.slots <= 4 * MOST_SLOTS:
         raise CodeError(f"{function.name}: sizes out of bounds")
@@ -379,6 +384,7 @@
         if op is Op.NEXT:
             todo.append((other, height))
         todo.append((at + 1, after))
+    return heights
 
 
 def _takes(program: Program, function: Function, op: Op, one: int, other: int) -> int:
--- a/martenstep/hooks/runner.py
+++ b/martenstep/hooks/runner.py
@@ -11,10 +11,11 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from martenstep.hooks.border import BorderError
+from martenstep.hooks.fast import translate
 from martenstep.hooks.vm import BYTES, NEVER, STEPS, Counters, HookError, Machine
 
 if TYPE_CHECKING:
@@ -45,7 +46,10 @@
     """What is known of one hook."""
 
     hook: Hook
-    counters: Counters = field(default_factory=Counters)
+    machine: Machine
+    function: int
+    for_all: bool
+    good: str  # under which its good runs are counted
     window: float = 0.0  # when the present one began
     failures: int = 0
     alone_until: float = 0.0
@@ -64,7 +68,10 @@
         self.release = release
         self._at: dict[str, list[_Standing]] = {}
         for hook in release.hooks:
-            self._at.setdefault(hook.point, []).append(_Standing(hook))
+            self._at.setdefault(hook.point, []).append(_Standing(
+                hook, Machine(hook.program, Counters(), fast=translate(hook.program)),
+                hook.program.points[hook.point], not hook.customers and not hook.plans,
+                f"{hook.point} good"))
         self.limits = limits or Limits()
         self._note, self._steps, self._bytes = note, steps, bytes_
         self._late, self._told_bad = late, bad
@@ -83,7 +90,7 @@
         """What the hook at a point gives for a customer, taken in by the border; the default where there is none, or
         it fails."""
         for standing in self._at.get(point, ()):
-            if standing.hook.fits(customer, plan):
+            if standing.for_all or standing.hook.fits(customer, plan):
                 break
         else:
             return default
@@ -95,22 +102,23 @@
         if now - self._window >= self.limits.window_ms:
             self._window = now
             self._runs = self._failures = self._window_steps = 0
-        machine = Machine(standing.hook.program, standing.counters, steps=self._steps, bytes_=self._bytes,
-                          late=self._late())
+        machine = standing.machine
+        machine.again(self._steps, self._bytes, self._late())
         self._runs += 1
         try:
-            made = take(machine.run(standing.hook.program.points[point], given()))
+            made = take(machine.run(standing.function, given()))
         except (HookError, BorderError, TypeError, ValueError, AttributeError) as error:
             self._failures += 1
             self._failed(now, point, standing, error)
             made = default
         else:
             standing.trial, standing.breaks = False, 0
-            self.counts[f"{point} good"] += 1
+            self.counts[standing.good] += 1
         used = self._steps - max(machine.steps, 0)
         self.steps_used += used
         self._window_steps += used
-        self._weigh()
+        if self._runs >= self.limits.least_runs:
+            self._weigh()
         return made
 
     def _failed(self, now: float, point: str, standing: _Standing, error: Exception) -> None:
@@ -131,7 +139,7 @@
     def _weigh(self) -> None:
         """Whether the release as a whole has passed its bounds."""
         limits, runs = self.limits, self._runs
-        if self._bad or runs < limits.least_runs:
+        if self._bad:
             return
         if self._failures > limits.failure_share * runs:
             self._now_bad(f"{self._failures} of {runs} runs failed")
--- a/martenstep/hooks/vm.py
+++ b/martenstep/hooks/vm.py
@@ -9,7 +9,7 @@
 
 import hashlib
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import lru_cache
 from types import SimpleNamespace
@@ -73,16 +73,22 @@
 class Machine:
     """One run of one function."""
 
+    __slots__ = ("_counters", "_depth", "_fast", "_late", "_program", "bytes", "look", "steps")
+
     def __init__(self, program: Program, counters: Counters | None = None, *, steps: int = STEPS, bytes_: int = BYTES,
-                 late: Callable[[], bool] = NEVER) -> None:
+                 late: Callable[[], bool] = NEVER,
+                 fast: Sequence[Callable[..., Any] | None] | None = None) -> None:
+        """`fast` are the program's functions as hooks.fast makes them; without them all is interpreted."""
         self._program, self._counters = program, counters if counters is not None else Counters()
         self.steps, self.bytes = steps, bytes_
-        self._late, self._look = late, steps - LATE_EVERY
+        self._late, self._fast, self._depth = late, fast, 0
+        self.look = max(steps - LATE_EVERY, -1)  # the steps at which the budget and the backstop are looked at
 
     def run(self, function: int, given: tuple[Any, ...]) -> Any:
         """The function's value; raises HookError, whatever the code and the values are."""
         try:
-            return self._run(function, given)
+            ready = self._fast[function] if self._fast is not None else None
+            return self._run(function, given) if ready is None else ready(self, *given)
         except HookError:
             raise
         except (TypeError, AttributeError, LookupError, ValueError, ArithmeticError, RecursionError,
@@ -90,12 +96,28 @@
             # No checked source comes here; code from elsewhere may.
             raise HookError("ill-typed", f"{type(error).__name__}: {error}") from None
 
+    def again(self, steps: int, bytes_: int, late: Callable[[], bool]) -> None:
+        """Ready for another run: cheaper than a new machine."""
+        self.steps, self.bytes, self._late, self._depth = steps, bytes_, late, 0
+        self.look = max(steps - LATE_EVERY, -1)
+
+    def call(self, number: int, values: tuple[Any, ...]) -> Any:
+        """A call within a run, by code that is not interpreted."""
+        if self._depth >= MOST_CALLS:
+            raise HookError("calls", f"more than {MOST_CALLS} in one another")
+        self._cost(self._program.functions[number].slots // ITEMS_A_STEP)
+        self._depth += 1
+        ready = self._fast[number] if self._fast is not None else None
+        made = self._run(number, values) if ready is None else ready(self, *values)
+        self._depth -= 1  # a run that fails is over: no need to count back
+        return made
+
     def _cost(self, steps: int) -> None:
         self.steps -= steps
         if self.steps < 0:
             raise HookError("steps", "the budget of steps is used up")
-        if self.steps <= self._look:
-            self._look = self.steps - LATE_EVERY
+        if self.steps <= self.look:
+            self.look = max(self.steps - LATE_EVERY, -1)
             if self._late():
                 raise HookError("late", "it took too long")
 
@@ -130,7 +152,7 @@
             op, one, other = code[at]
             at += 1
             self.steps -= 1
-            if self.steps <= self._look or self.steps < 0:
+            if self.steps <= self.look:
                 self._cost(0)
             if op == OP.CONST:
                 stack.append(constants[one])
@@ -159,7 +181,7 @@
                 else:
                     at = other
             elif op == OP.CALL:
-                if len(frames) >= MOST_CALLS:
+                if len(frames) + self._depth >= MOST_CALLS:
                     raise HookError("calls", f"more than {MOST_CALLS} in one another")
                 frames.append((code, slots, at))
                 function = functions[one]
--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -14,6 +14,8 @@
 from martenstep.config import door_pb2 as cfg
 from martenstep.config.settings import Checker, check_class, check_plan, check_rules, parse_checked, read_text
 from martenstep.config.text import Node
+from martenstep.hooks.code import compile_source
+from martenstep.hooks.syntax import HookFault
 from martenstep.lab import day_pb2 as pb
 from martenstep.standins.clients import Planned
 from martenstep.standins.photo import PhotoConfig, WorkOf
@@ -124,6 +126,14 @@
         check.known(day.clients, node, "abuse_plan", plan_names, "plan")
     for event, at in zip(day.event, root.all("event"), strict=True):
         _check_event(check, event, at, day)
+    for release, at in zip(day.hooks, root.all("hooks"), strict=True):
+        check.number(release, at, "at_ms", 0, LONGEST_MS)
+        if not 0 < release.share <= 1:
+            check.fault(at.at("share"), f"expected above 0, to 1, got {release.share:g}")
+        try:
+            compile_source(release.source)
+        except HookFault as fault:
+            check.fault(at.at("source"), str(fault))
     check_rules(check, day.rules, root.at("rules"))
     check.above_zero(day, root, "store_timeout_ms", "judge_slack_ms")
 
@@ -205,6 +215,9 @@
     door.rules.CopyFrom(day.rules)
     door.plan.extend(day.plan)
     getattr(door, "class").extend(getattr(day, "class"))
+    if day.hooks:
+        door.hooks.directory = str(warm_copy.with_name("hooks"))
+        door.hooks.history = str(warm_copy.with_name(f"hooks-{number}.jsonl"))
     guarded = day.HasField("auth_services")
     if guarded:
         door.auth.CopyFrom(day.auth)
--- a/martenstep/supervise/service.py
+++ b/martenstep/supervise/service.py
@@ -21,7 +21,7 @@
 from martenstep.config.tls import TlsError
 from martenstep.door.daemon import Daemon, loop_fault
 from martenstep.door.log import Notes, configure
-from martenstep.supervise import resources
+from martenstep.supervise import early, resources
 from martenstep.supervise.lock import LockedError, PidFile
 from martenstep.supervise.notify import Notifier
 from martenstep.supervise.supervisor import GAVE_UP, Supervisor
@@ -123,6 +123,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reloader.begin)
+    if early.asked():
+        reloader.begin()
     while not stop.is_set():
         try:
             await asyncio.wait_for(stop.wait(), notifier.watchdog_s or None)
--- a/tests/test_supervise.py
+++ b/tests/test_supervise.py
@@ -319,3 +319,35 @@
 
 def test_the_usual_worker_count_is_one() -> None:
     assert pb.Door().workers.count == 1
+
+
+def test_a_reload_asked_for_before_the_service_is_up_is_not_lost(tmp_path: Path) -> None:
+    """It would end the process, or pass unheard between the reading of the settings and the handler."""
+    script = ("import os, signal, sys; sys.argv = ['martenstep', 'serve', sys.argv[1]]\n"
+              "from martenstep.supervise import early; early.arm(sys.argv[1:])\n"
+              "from martenstep.cli import main\n"
+              "load = main.load_door\n"
+              "def loaded(path):\n"
+              "    made = load(path)\n"
+              "    main.load_door = load\n"
+              "    path.write_text(path.read_text() + 'default_plan: \"open\"')\n"
+              "    os.kill(os.getpid(), signal.SIGHUP)\n"
+              "    return made\n"
+              "main.load_door = loaded\n"
+              "main.main()\n")
+    file = tmp_path / "door.txtpb"
+    file.write_text(ASKED)
+
+    async def test() -> None:
+        process = await asyncio.create_subprocess_exec(sys.executable, "-c", script, str(file),
+                                                       stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        assert process.stderr is not None
+        seen: list[str] = []
+        while "default_plan" not in (seen[-1] if seen else ""):
+            line = (await process.stderr.readline()).decode()
+            assert line, seen
+            seen.append(line)
+        assert "settings taken up" in seen[-1]
+        process.terminate()
+        assert await process.wait() == 0
+    run(test())
