--- /dev/null
+++ b/tests/test_hooks_docs.py
@@ -0,0 +1,50 @@
+"""What the pages say of the language holds: every example runs, every built-in and field is told."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from martenstep.hooks.code import compile_source
+from martenstep.hooks.fast import translate
+from martenstep.hooks.fmt import format_file
+from martenstep.hooks.syntax import MOST_BYTES, MOST_DEPTH, parse
+from martenstep.hooks.types import BUILT_IN, POINTS, RECORDS
+from martenstep.hooks.vm import BYTES, MOST_CALLS, MOST_COUNTERS, STEPS, Machine
+
+DOCS = Path(__file__).resolve().parent.parent / "docs"
+PAGES = ("hooks-language.md", "hooks-cookbook.md")
+EXAMPLES = [(page, example) for page in PAGES
+            for example in re.findall(r"```hook\n(.*?)```", (DOCS / page).read_text(encoding="utf-8"), re.S)]
+
+
+@pytest.mark.parametrize(("page", "source"), EXAMPLES)
+def test_every_example_is_formatted_and_its_tests_hold(page: str, source: str) -> None:
+    program = compile_source(source)
+    assert program.points and program.tests, page
+    assert format_file(parse(source)) == source
+    fast = translate(program)
+    for title, number in program.tests:
+        assert Machine(program).run(number, ()) is True, title
+        assert Machine(program, fast=fast).run(number, ()) is True, title
+
+
+def test_the_reference_tells_all_that_there_is() -> None:
+    text = (DOCS / "hooks-language.md").read_text(encoding="utf-8")
+    assert all(f"`{name}(" in text for name in (*BUILT_IN, *POINTS))
+    table = {line.split("|")[1]: line.split("|")[2] for line in text.splitlines() if line.count("|") == 3}
+    for record, fields in RECORDS.items():
+        [row] = [cells for names, cells in table.items() if f"`{record}`" in names and "(" not in names]
+        assert re.findall(r"[a-z_]+", re.sub(r": (number|duration|list<Header>)", "", row)) == [n for n, _ in fields]
+    assert f"{STEPS:,}" in text and f"{BYTES // 1024} KiB" in text and f"{MOST_BYTES // 1024} KiB" in text
+    assert f"nested {MOST_DEPTH} deep" in text and f"| {MOST_CALLS} |" in text and f"{MOST_COUNTERS} names" in text
+
+
+def test_the_grammar_in_the_reference_is_the_parsers() -> None:
+    text = (DOCS / "hooks-language.md").read_text(encoding="utf-8")
+    source = (DOCS.parent / "martenstep/hooks/syntax.py").read_text(encoding="utf-8")
+    [told] = re.findall(r"```\n(file .*?)```", text, re.S)
+    assert [line.strip() for line in told.strip().splitlines()] == [
+        line.strip() for line in source[source.index("file     ="):source.index("A TEXT holds")].strip().splitlines()]
