Hooks: translated as they are read, beside the loop, and nothing huge is translated

Cause: translation of a source of 60 KB took 0.2 to 0.5 s on the event loop at a reload. Change: it belongs to the reading, in a thread; functions above 1,500 instructions are left to the machine.

--- a/martenstep/hooks/fast.py
+++ b/martenstep/hooks/fast.py
@@ -19,6 +19,7 @@
 from martenstep.hooks.vm import FIELDS, ITEM_BYTES, OP, SIGNS_A_STEP, shown
 
 MOST_BLOCKS = 48
+MOST_CODE = 1500  # instructions: Python's compiler lets nothing else run while it reads one function
 MOST_ADDED = 8  # in one expression: Python's compiler goes down as deep as a sum is long
 ENDS = (OP.JUMP, OP.JUMP_FALSE, OP.NEXT, OP.RETURN)
 Fast = Sequence[Callable[..., Any] | None]
@@ -192,7 +193,7 @@
     made: list[Callable[..., Any] | None] = []
     for number, function in enumerate(program.functions):
         writer = _Writer(program, function, number)
-        if len(writer.starts) > MOST_BLOCKS:
+        if len(writer.starts) > MOST_BLOCKS or len(function.code) > MOST_CODE:
             made.append(None)
             continue
         exec(compile(writer.text(), f"<hook {number}>", "exec"), names)
--- a/martenstep/hooks/releases.py
+++ b/martenstep/hooks/releases.py
@@ -13,12 +13,13 @@
 
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import xxhash
 
 from martenstep.hooks.code import Program
+from martenstep.hooks.fast import Fast, translate
 from martenstep.hooks.runner import Limits, Runner
 from martenstep.hooks.vm import NEVER
 
@@ -35,6 +36,10 @@
     program: Program
     customers: frozenset[str] = frozenset()
     plans: frozenset[str] = frozenset()
+    fast: Fast = field(init=False, compare=False, repr=False)  # made with it: it takes its time
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "fast", translate(self.program))
 
     def fits(self, customer: str, plan: str) -> bool:
         """Whether it acts for this customer; a list that is empty names all."""
--- a/martenstep/hooks/runner.py
+++ b/martenstep/hooks/runner.py
@@ -15,7 +15,6 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from martenstep.hooks.border import BorderError
-from martenstep.hooks.fast import translate
 from martenstep.hooks.vm import BYTES, NEVER, STEPS, Counters, HookError, Machine
 
 if TYPE_CHECKING:
@@ -69,7 +68,7 @@
         self._at: dict[str, list[_Standing]] = {}
         for hook in release.hooks:
             self._at.setdefault(hook.point, []).append(_Standing(
-                hook, Machine(hook.program, Counters(), fast=translate(hook.program)),
+                hook, Machine(hook.program, Counters(), fast=hook.fast),
                 hook.program.points[hook.point], not hook.customers and not hook.plans,
                 f"{hook.point} good"))
         self.limits = limits or Limits()
