--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from martenstep.cli.hooks import hook
+from martenstep.cli.lab import lab
 from martenstep.cli.words import example as _example
 from martenstep.config import door_pb2 as pb
 from martenstep.config.settings import load_door
@@ -419,6 +420,7 @@
 
 
 cli.add_command(hook)
+cli.add_command(lab)
 
 
 def main() -> None:
--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -239,6 +239,11 @@
     return door
 
 
+def door_settings_at(day: pb.Day, number: int) -> cfg.Door:
+    """The settings of a door without a machine: its ports are numbers that nobody binds."""
+    return door_settings(day, number, {"listener": 0, "admin": 0, "store": 1, "feed": 1, "store-0": 1}, Path())
+
+
 def written(door: cfg.Door) -> str:
     """A door's settings as the file that an operator would write."""
     return text_format.MessageToString(door)
--- /dev/null
+++ b/martenstep/lab/emulate/doors.py
@@ -0,0 +1,459 @@
+"""A door in virtual time: the very engine, store and feed follower of the daemon, between modelled connections.
+
+What the daemon's process costs is modelled as one worker that takes requests and answers in turn.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from martenstep.config import door_pb2 as cfg
+from martenstep.door import events as ev
+from martenstep.door.engine import Engine
+from martenstep.door.events import Ending
+from martenstep.door.http import header
+from martenstep.interface import Scope
+from martenstep.lab.emulate.core import Sim, Timer
+from martenstep.lab.emulate.net import Network, Pipe, Place
+from martenstep.lab.emulate.servers import EmuServer, Job
+from martenstep.lab.emulate.store import EmuStore
+from martenstep.members.feed import Follower
+from martenstep.members.lists import Listed
+from martenstep.store import core as store
+
+STORE_NODE = "store"
+ZONE_OF_STORE = "store"
+
+
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """Processor time of a door's process, in ms: measured about 0.7 a request over sockets (docs/measurements.md)."""
+
+    request_ms: float = 0.35
+    answer_ms: float = 0.35
+
+
+@dataclass(slots=True, eq=False)
+class Caller:
+    """What a door knows of the client that asked: where its answer goes."""
+
+    reply: Callable[[int, ev.Headers, bool], None]  # status, headers; False: broke off
+    pipe: Pipe
+
+
+class Connection:
+    """One connection from a door to a server, both ends of it."""
+
+    __slots__ = ("_door", "attempt", "back", "ended", "forth", "job", "server", "ticket", "up")
+
+    def __init__(self, door: EmuDoor, server: EmuServer, forth: Pipe, back: Pipe) -> None:
+        self._door, self.server, self.forth, self.back = door, server, forth, back
+        self.ticket = self.attempt = -1  # of the attempt that it carries
+        self.job: Job | None = None
+        self.up = False
+        self.ended = False  # at the server's end
+
+    # At the server's end --------------------------------------------------------------------------------
+
+    def came(self, told: dict[str, Any], cls: str, key: str, customer: str) -> None:
+        """A request has come over it."""
+        if not self.ended:
+            self.job = self.server.arrive(self, told, cls, key, customer)
+
+    def closed(self) -> None:
+        """The door has closed it."""
+        if not self.ended:
+            self.ended = True
+            self.server.callers.pop(self, None)
+            if self.job is not None:
+                self.server.give_up(self.job)
+
+    def answered(self, job: Job, how: str, size: int) -> None:
+        """The server's answer goes out."""
+        if self.ended:
+            return
+        self.job = None
+        if how in ("reset", "cut"):
+            self.ended = True
+            self.server.callers.pop(self, None)
+        self.back.send(self._door.answered, self, self.ticket, self.attempt, how, size=size)
+
+    def dropped(self) -> None:
+        """The server drops it, with what it carries."""
+        if not self.ended:
+            self.ended = True
+            if self.job is not None:
+                self.server.give_up(self.job)
+            self.back.send(self._door.lost, self)
+
+
+class EmuDoor:
+    """One door's process."""
+
+    def __init__(self, sim: Sim, net: Network, settings: cfg.Door, number: int, seed: int,
+                 servers: dict[int, EmuServer], zones: dict[int, str], redis: EmuStore | None, costs: Costs,
+                 subscribe: Callable[[EmuDoor], None]) -> None:
+        """`zones` are the servers', by number; `subscribe` asks the feed to tell of changes."""
+        self._sim, self._net, self.settings, self.number = sim, net, settings, number
+        self.name, self._servers, self._redis, self._costs = settings.name, servers, redis, costs
+        self.place = Place(settings.name, settings.zone)
+        self.engine = Engine(settings, seed)
+        self._zones, self._subscribe = zones, subscribe
+        self.alive, self.stopping = True, False
+        self.follower = Follower()
+        self.listening = False
+        self._callers: dict[int, Caller] = {}
+        self._tickets = 0
+        self._busy_until = 0.0
+        self._idle: dict[int, list[Connection]] = {}
+        self._number: dict[int, int] = {}  # connections of a server, dialled or standing
+        self._out: dict[int, Connection] = {}  # by ticket
+        self._actions: deque[ev.Action] = deque()
+        self._acting = False
+        self._timer: Timer | None = None
+        self._timer_at = 0.0
+        self.answers: dict[str, int] = {}
+        self._core: store.Core | None = None
+        if redis is not None:
+            told = settings.store
+            self._core = store.Core(store.Options(told.timeout_ms, told.connections, told.waiting, told.gather_ms,
+                                                  told.prefix, told.scripts), random.Random(seed))
+            self._lanes: dict[store.Lane, tuple[Pipe, Pipe]] = {}
+            self._store_place = Place(STORE_NODE, ZONE_OF_STORE)
+            self._store_timer: Timer | None = None
+            self._core.topology(sim.now, [STORE_NODE])
+            self._store_act()
+        self._does: dict[type, Callable[[Any], None]] = {
+            ev.Open: self._open, ev.Abandon: self._abandon, ev.Pass: self._pass, ev.Reply: self._reply,
+            ev.Break: self._break, ev.Add: self._add, ev.Listen: self._listen, ev.Note: self._note,
+        }
+
+    # Engine ---------------------------------------------------------------------------------------------
+
+    def act(self, event: ev.Event) -> None:
+        """Tell the engine, and do what it says."""
+        if self.alive:
+            self._run(self.engine.handle(self._sim.now, event))
+
+    def _run(self, actions: list[ev.Action]) -> None:
+        self._actions.extend(actions)
+        if self._acting:
+            return
+        self._acting = True
+        while self._actions:
+            action = self._actions.popleft()
+            does = self._does.get(type(action))
+            if does is not None:
+                does(action)
+        self._acting = False
+        at = self.engine.next_at()
+        if at is not None and (self._timer is None or at < self._timer_at):
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer_at = at
+            self._timer = self._sim.at(at, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.act(ev.Tick())
+
+    def _in_turn(self, cost: float, call: Callable[..., None], *args: Any) -> None:
+        """Do it as soon as the process has come to it."""
+        self._busy_until = max(self._sim.now, self._busy_until) + cost
+        self._sim.at(self._busy_until, call, *args)
+
+    def _note(self, action: ev.Note) -> None:
+        if action.event in ("answer", "turned away"):
+            reason = action.fields["reason"]
+            self.answers[reason] = self.answers.get(reason, 0) + 1
+
+    # Clients --------------------------------------------------------------------------------------------
+
+    def accepts(self) -> bool:
+        """Whether a client's connection is taken."""
+        return self.alive and not self.stopping
+
+    def asked(self, caller: Caller, method: bytes, target: bytes, headers: ev.Headers) -> int:
+        """A client's request has come; gives its ticket."""
+        self._tickets += 1
+        ticket = self._tickets
+        self._callers[ticket] = caller
+        self._in_turn(self._costs.request_ms, self._arrived, ticket, method, target, headers)
+        return ticket
+
+    def _arrived(self, ticket: int, method: bytes, target: bytes, headers: ev.Headers) -> None:
+        if ticket in self._callers:
+            self.act(ev.Arrived(ticket, method, target, headers, "127.0.0.1"))
+
+    def client_left(self, ticket: int) -> None:
+        """The client is gone."""
+        if self._callers.pop(ticket, None) is not None:
+            self.act(ev.ClientLeft(ticket))
+
+    def _reply(self, action: ev.Reply) -> None:
+        caller = self._callers.pop(action.ticket, None)
+        if caller is not None:
+            caller.pipe.send(caller.reply, action.status, action.headers, True, size=len(action.body) + 300)
+
+    def _pass(self, action: ev.Pass) -> None:
+        caller = self._callers.get(action.ticket)
+        if caller is not None and action.whole:
+            del self._callers[action.ticket]
+            caller.pipe.send(caller.reply, action.status, action.headers, True, size=2000)
+
+    def _break(self, action: ev.Break) -> None:
+        caller = self._callers.pop(action.ticket, None)
+        if caller is not None:
+            caller.pipe.send(caller.reply, 0, [], False)
+
+    # Servers --------------------------------------------------------------------------------------------
+
+    def _open(self, action: ev.Open) -> None:
+        server = self._servers[action.server]
+        idle = self._idle.get(action.server)
+        while idle:
+            connection = idle.pop()
+            if connection.up:
+                self._begin(connection, action)
+                return
+        held = self._number.get(action.server, 0)
+        if held >= self.settings.upstream.connections:
+            self.act(ev.AttemptEnded(action.ticket, action.attempt, Ending.NO_PLACE))
+            return
+        self._number[action.server] = held + 1
+        there = Place(f"server-{action.server}", self._zone_of(action.server))
+        connection = Connection(self, server, Pipe(self._net, self.place, there), Pipe(self._net, there, self.place))
+        connection.ticket, connection.attempt = action.ticket, action.attempt
+        self._out[action.ticket] = connection
+        connection.forth.send(self._knock, connection, action, size=60)
+
+    def _zone_of(self, server: int) -> str:
+        return self._zones.get(server, "")
+
+    def _knock(self, connection: Connection, action: ev.Open) -> None:
+        """At the server: the connection is taken or not."""
+        if connection.server.takes:
+            connection.server.callers[connection] = None
+            connection.back.send(self._stands, connection, action, size=60)
+        else:
+            connection.ended = True
+            connection.back.send(self._refused, connection, action, size=60)
+
+    def _stands(self, connection: Connection, action: ev.Open) -> None:
+        if self._out.get(action.ticket) is connection and not connection.up and self.alive:
+            connection.up = True
+            self._begin(connection, action)
+        else:  # given up meanwhile
+            self._drop(connection)
+
+    def _refused(self, connection: Connection, action: ev.Open) -> None:
+        if self._out.get(action.ticket) is connection:
+            del self._out[action.ticket]
+            self._uncount(connection)
+            self.act(ev.AttemptEnded(action.ticket, action.attempt, Ending.NOT_CONNECTED))
+
+    def _begin(self, connection: Connection, action: ev.Open) -> None:
+        connection.ticket, connection.attempt = action.ticket, action.attempt
+        self._out[action.ticket] = connection
+        self.act(ev.Written(action.ticket, action.attempt))
+        if self._out.get(action.ticket) is not connection:
+            return
+        headers = action.headers
+        told = {"rid": (header(headers, b"x-request-id") or b"").decode(), "attempt": action.attempt,
+                "door": self.name, "server": action.server}
+        cls = action.target.decode("latin-1").split("/")[1]
+        key = (header(headers, b"idempotency-key") or b"").decode()
+        customer = (header(headers, b"x-auth-customer") or header(headers, b"x-customer") or b"").decode()
+        connection.forth.send(connection.came, told, cls, key, customer)
+
+    def _abandon(self, action: ev.Abandon) -> None:
+        connection = self._out.pop(action.ticket, None)
+        if connection is not None:
+            self._drop(connection)
+
+    def _drop(self, connection: Connection) -> None:
+        """Close it, here and now; the server learns of it a moment later."""
+        connection.up = False
+        connection.back.open = False
+        self._uncount(connection)
+        connection.forth.send(connection.closed, size=60)
+
+    def _uncount(self, connection: Connection) -> None:
+        number = connection.server.config.id
+        self._number[number] -= 1
+
+    def lost(self, connection: Connection) -> None:
+        """The server has dropped it."""
+        if not connection.up and connection.ticket not in self._out:
+            return
+        connection.up = False
+        self._uncount(connection)
+        if self._out.get(connection.ticket) is connection:
+            del self._out[connection.ticket]
+            self.act(ev.AttemptEnded(connection.ticket, connection.attempt, Ending.CLOSED))
+        else:
+            idle = self._idle.get(connection.server.config.id, [])
+            if connection in idle:
+                idle.remove(connection)
+
+    def answered(self, connection: Connection, ticket: int, attempt: int, how: str) -> None:
+        """A server's answer has come."""
+        if self._out.get(ticket) is not connection or connection.attempt != attempt:
+            return
+        self._in_turn(self._costs.answer_ms, self._read, connection, ticket, attempt, how)
+
+    def _read(self, connection: Connection, ticket: int, attempt: int, how: str) -> None:
+        if self._out.get(ticket) is not connection or connection.attempt != attempt or not self.alive:
+            return
+        if how in ("reset", "cut"):
+            connection.up = False
+            self._uncount(connection)
+            del self._out[ticket]
+            self.act(ev.AttemptEnded(ticket, attempt, Ending.CLOSED))
+            return
+        upstream = self.settings.upstream
+        status = {"error": 500, "refused": upstream.refusal_status}.get(how, 200)
+        headers: ev.Headers = [(upstream.refusal_header.encode(), b"1")] if how == "refused" else []
+        self.act(ev.AnswerHead(ticket, attempt, status, headers))
+        if self._out.get(ticket) is connection:  # else the engine has given the attempt up
+            del self._out[ticket]
+            self._idle.setdefault(connection.server.config.id, []).append(connection)
+            self.act(ev.AnswerWhole(ticket, attempt))
+
+    # Store ----------------------------------------------------------------------------------------------
+
+    def _add(self, action: ev.Add) -> None:
+        assert self._core is not None
+        self._core.add(self._sim.now, action.call, action.name, action.units, action.expire_ms)
+        self._store_act()
+
+    def _store_act(self) -> None:
+        core = self._core
+        assert core is not None
+        for action in core.take():
+            match action:
+                case store.Told(call=call, verdict=verdict, total=total):
+                    self.act(ev.Counted(call, verdict, total))
+                case store.Write(lane=lane):
+                    self._lanes[lane][0].send(self._at_store, action, size=120 * len(action.ops))
+                case store.Open(lane=lane):
+                    pipes = (Pipe(self._net, self.place, self._store_place),
+                             Pipe(self._net, self._store_place, self.place))
+                    self._lanes[lane] = pipes
+                    pipes[0].send(self._store_knock, lane, pipes, size=60)
+                case store.Close(lane=lane):
+                    found = self._lanes.pop(lane, None)
+                    if found is not None:
+                        found[1].open = False
+                case _:
+                    pass
+        if self._store_timer is not None:
+            self._store_timer.cancel()
+        at = core.next_at(self._sim.now)
+        self._store_timer = self._sim.at(at, self._store_wake) if at < float("inf") else None
+
+    def _store_wake(self) -> None:
+        if self.alive and self._core is not None:
+            self._core.wake(self._sim.now)
+            self._store_act()
+
+    def _store_knock(self, lane: store.Lane, pipes: tuple[Pipe, Pipe]) -> None:
+        assert self._redis is not None
+        pipes[1].send(self._store_stands, lane, pipes, not self._redis.down, size=60)
+
+    def _store_stands(self, lane: store.Lane, pipes: tuple[Pipe, Pipe], taken: bool) -> None:
+        if self._lanes.get(lane) is not pipes or not self.alive or self._core is None:
+            return
+        if taken:
+            self._core.opened(self._sim.now, lane)
+        else:
+            del self._lanes[lane]
+            self._core.refused(self._sim.now, lane, "refused")
+        self._store_act()
+
+    def _at_store(self, write: store.Write) -> None:
+        assert self._redis is not None and self._core is not None
+        pipes = self._lanes.get(write.lane)
+        if self._redis.down:
+            return
+        done, answers = self._redis.take(self.name, write, self._core.key)
+        if answers is not None and pipes is not None:
+            self._sim.at(done, pipes[1].send, self._store_said, write.lane, pipes, answers)
+        elif pipes is not None and self._redis.cut_share:
+            self._sim.at(done, pipes[1].send, self.store_lost, write.lane, pipes)
+
+    def _store_said(self, lane: store.Lane, pipes: tuple[Pipe, Pipe],
+                    answers: list[store.Held | store.Fault]) -> None:
+        if self._lanes.get(lane) is pipes and self.alive and self._core is not None:
+            for answer in answers:
+                self._core.replied(self._sim.now, lane, answer)
+            self._store_act()
+
+    def store_lost(self, lane: store.Lane, pipes: tuple[Pipe, Pipe]) -> None:
+        """A connection to the store broke."""
+        if self._lanes.get(lane) is pipes and self.alive and self._core is not None:
+            del self._lanes[lane]
+            pipes[1].open = False
+            self._core.lost(self._sim.now, lane, "broke")
+            self._store_act()
+
+    def store_gone(self) -> None:
+        """All connections to the store break."""
+        for lane, pipes in list(self._lanes.items()) if self._core is not None else ():
+            self.store_lost(lane, pipes)
+
+    # Feed -----------------------------------------------------------------------------------------------
+
+    def _listen(self, _: ev.Listen) -> None:
+        self.listening = True
+        self._subscribe(self)
+
+    def told(self, body: bytes) -> None:
+        """The feed's answer."""
+        if self.alive:
+            listed, _ = self.follower.take(body, self._sim.now)
+            if listed is not None:
+                self.act(listed)
+
+    def warm(self, body: bytes | None) -> None:
+        """The list as last held."""
+        self.act(self.follower.warm(body, self._sim.now, self._sim.now) if body else Listed(Scope.WARM_COPY))
+
+    def feed_lost(self) -> None:
+        """The feed cannot be reached."""
+        self.act(Listed(Scope.LOST))
+
+    # Life -----------------------------------------------------------------------------------------------
+
+    def kill(self) -> None:
+        """SIGKILL: nothing is answered any more, every connection breaks."""
+        self.alive = False
+        for caller in self._callers.values():
+            caller.pipe.send(caller.reply, 0, [], False)
+        self._callers.clear()
+        for connection in [*self._out.values(), *(one for idle in self._idle.values() for one in idle)]:
+            connection.forth.send(connection.closed, size=60)
+        for timer in (self._timer, getattr(self, "_store_timer", None)):
+            if timer is not None:
+                timer.cancel()
+
+    def leave(self, done: Callable[[], None]) -> None:
+        """SIGTERM: accept no more, answer what is held, leave in a bounded time."""
+        self.stopping = True
+        self._leaving(self._sim.now + self.settings.stop_ms, done)
+
+    def _leaving(self, until: float, done: Callable[[], None]) -> None:
+        if self.engine.open and self._sim.now < until:
+            self._sim.after(10.0, self._leaving, until, done)
+            return
+        self._run(self.engine.stop(self._sim.now))
+        self._sim.after(50.0, self._left, done)
+
+    def _left(self, done: Callable[[], None]) -> None:
+        self.kill()
+        done()
+
--- /dev/null
+++ b/martenstep/lab/emulate/judged.py
@@ -0,0 +1,37 @@
+"""The judge of played days on what was emulated: the same rules, the same figures."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from martenstep.lab import day_pb2 as pb
+from martenstep.lab.emulate.world import Traces, World
+from martenstep.lab.report import SHOWN, figures
+from martenstep.lab.rules import RULES, Judge, Traffic, gather
+
+
+def traffic_of(traces: Traces) -> Traffic:
+    """The traces put together."""
+    return gather(traces.clients, traces.servers, traces.feed, traces.events)
+
+
+def judged(day: pb.Day, traces: Traces) -> dict[str, Any]:
+    """The result of an emulated day, in the form of a played one's."""
+    traffic = traffic_of(traces)
+    breaches = Judge(day, traffic).all()
+    rules = {}
+    for rule in RULES:
+        found = [breach for breach in breaches if breach.rule == rule]
+        rules[rule] = {"kept": not found, "breaches": len(found),
+                       "first": [msgspec.to_builtins(breach) for breach in found[:SHOWN]]}
+    return {"day": day.name, "kept": not breaches, "figures": figures(day, traffic), "rules": rules}
+
+
+def emulate(day: pb.Day, seed: int | None = None) -> dict[str, Any]:
+    """Play a day in virtual time and judge it; raises NotEmulatedError."""
+    world = World(day, seed)
+    result = judged(day, world.play())
+    result["events"] = world.sim.events
+    return result
--- /dev/null
+++ b/martenstep/lab/emulate/store.py
@@ -0,0 +1,81 @@
+"""A Redis as a model: the stand-in's own keyspace behind a bounded number of calls a second, and its troubles."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from martenstep.lab.emulate.core import Draws, Sim
+from martenstep.standins.redis.keyspace import Keyspace, Session
+from martenstep.standins.resp import ErrorReply
+from martenstep.store import script
+from martenstep.store.core import Fault, Held, Op, Write
+
+CALL_MS = 0.004  # of one core for a statement: 250,000 a second
+
+
+class EmuStore:
+    """One store, shared by all doors."""
+
+    def __init__(self, sim: Sim, draws: Draws, call_ms: float = CALL_MS) -> None:
+        self._sim, self._draws, self._call_ms = sim, draws, call_ms
+        self.keys = Keyspace()
+        self._session = Session(0)
+        self._busy_until = 0.0
+        self.down = self.hangs = False
+        self.paused_until = 0.0
+        self.slow_ms = 0.0
+        self.error = ""
+        self.full = False
+        self.cut_share = 0.0
+        self.calls = 0
+        self._copies: list[tuple[float, list[Any]]] = []
+
+    def take(self, door: str, write: Write, key_of: Any) -> tuple[float, list[Held | Fault] | None]:
+        """When one write's answers leave, and what they are; None where they never do."""
+        begin = max(self._sim.now, self._busy_until, self.paused_until)
+        self._busy_until = done = begin + self._call_ms * len(write.ops) + self.slow_ms
+        self.calls += len(write.ops)
+        if write.load:
+            self.keys.run(self._session, self._sim.now, [b"SCRIPT", b"LOAD", script.LUA.encode()])
+        if self.hangs:
+            return done, None
+        answers = [self._run(door, op, write.plain, key_of(op.name)) for op in write.ops]
+        if self.cut_share and self._draws.unit() < self.cut_share:
+            return done, None
+        return done, answers
+
+    def _run(self, door: str, op: Op, plain: bool, key: bytes) -> Held | Fault:
+        if self.error:
+            return Fault(self.error)
+        if self.full and self.keys.run(self._session, self._sim.now, [b"EXISTS", key]) == 0:
+            return Fault("OOM command not allowed when used memory > 'maxmemory'.")
+        run = self.keys.run
+        if plain:
+            total = run(self._session, self._sim.now, [b"HINCRBYFLOAT", key, b"t", b"%.17g" % op.units])
+            run(self._session, self._sim.now, [b"PEXPIRE", key, b"%d" % op.life_ms, b"NX"])
+            return Fault(str(total)) if isinstance(total, ErrorReply) else Held(float(total), -1)  # type: ignore[arg-type]
+        reply = run(self._session, self._sim.now, [
+            b"EVALSHA", script.DIGEST.encode(), b"1", key, b"%b:1" % door.encode(), b"%d" % op.version,
+            b"%.17g" % op.total, b"%d" % op.life_ms])
+        if isinstance(reply, ErrorReply):
+            return Fault(str(reply))
+        assert isinstance(reply, list) and isinstance(reply[0], bytes) and isinstance(reply[1], bytes)
+        return Held(float(reply[0]), int(reply[1]))
+
+    # Troubles -------------------------------------------------------------------------------------------
+
+    def empty(self) -> None:
+        """It loses its contents."""
+        self.keys.empty()
+
+    def keep_copy(self) -> None:
+        """What a replica has got by now."""
+        self._copies.append((self._sim.now, list(self.keys.contents())))
+        del self._copies[:-2]
+
+    def go_back(self) -> None:
+        """A replica that was a moment behind takes over."""
+        contents = self._copies[0][1] if self._copies else []
+        self.keys.empty()
+        for entry in contents:
+            self.keys.take(*entry)
