Module: the choice of a server passes over those that cannot win, with the same actions

Cause: with hundreds of servers nearly all of a decision's time went into costs, logarithms and powers of servers whose draw could not win any more.

Change: a draw is held against the one with which the quickest server would still win; the dearest is looked for only where a turn comes. Every draw of chance is made as before.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -54,6 +54,9 @@
 INFORMED = 1.0  # own sends to a server in QUEUE_TAU_MS that tell of its queue; with fewer, chance decides
 NEAR_MS = 1500.0  # a gateway keeps to as many servers as it sends to in this time: it hears of each so often
 NEAR_LEAST = 3.0  # and to no fewer: with two, one that jams leaves no choice
+WIN_MOST = 1e6  # times the least latency: a cost above it proves nothing about the others
+ROUNDING = 1e-9  # a draw so near to the proof is reckoned in full
+LOW_EVERY = 500  # answers after which the least latency, which may have risen, is looked for anew
 TURN_CHANCE = 0.05  # of a choice, that the dearest of them gives way to one not met lately
 CONNECTED_MS = 10_000.0  # a server that answered within this is taken to hold a connection still
 FAIL_GAIN = 0.4  # weight of one answer, or of none, in a server's failures: two in a row tell
@@ -367,6 +370,8 @@
         self._latency = GUESS_OF_AIM  # EWMA over the answers of all servers, in parts of the class's aim
         self._out = 0  # attempts out at all servers, and ...
         self._unmet = 0.0  # EWMA share of attempts that got no connection
+        self._low, self._largest, self._heard = math.inf, 1.0, 0  # see _bounds; answers since
+        self._warm_at = -math.inf
         self._more = LIMIT_SPARE  # ... how many more than its part this gateway may have
 
     def members(self, event: Members) -> None:
@@ -388,6 +393,14 @@
         self._peers = {k: p for k, p in self._peers.items() if p.info.state is not State.GONE or p.out}
         self._up = [p for p in self._peers.values() if p.info.state is State.UP]
         self._up.sort(key=lambda p: p.rank)
+        self._bounds()
+
+    def _bounds(self) -> None:
+        """No server's base is known to be below the one, none is larger, none cold after the third."""
+        self._low = min((p.base for p in self._up if p.base), default=math.inf)
+        self._largest, self._heard = max((p.info.size for p in self._up), default=1.0), 0
+        started = max((p.info.started_ms for p in self._up), default=0.0)
+        self._warm_at = started + self._settings.warm_within_ms if started > 0 else -math.inf
 
     def _step_back(self, now: float, peer: Peer) -> None:
         """To any place behind the aperture: memory of a bad server by what was tried since, not by time.  Not
@@ -443,6 +456,12 @@
             return peer.base, max(queue, now - since - peer.base)
         return peer.base, queue
 
+    def _cost(self, now: float, peer: Peer) -> float:
+        """What one more attempt there would take, dearer where attempts fail; never below its base."""
+        base, queue = self._expect(now, peer)
+        cost = base * (1 + len(peer.out)) + queue
+        return cost * (1 + FAIL_COST * peer.failures(now)) if peer.failing else cost
+
     def patience(self, now: float, peer_id: int, aim: float) -> float:
         """How long without an answer is silence."""
         usual = max(sum(self._expect(now, self._peers[peer_id])), SILENT_OF_POOL * self._latency * aim)
@@ -474,29 +493,33 @@
     def pick(self, now: float, allowed: Where, tried: list[int]) -> tuple[Server, float] | None:
         """The server with the least expected delay, and that delay; None where none may be used."""
         best: tuple[float, Peer] | None = None
-        worst: tuple[float, Peer] | None = None
         home, draw = self._settings.zone, self._rng.random
         # Aperture: of hundreds of gateways that each meet all servers none knows any, and all go on filling
         # what is slow, jammed or lost.  So each keeps to few, in an order of its own; one that fails it goes
         # to the back.  Covers servers slow, jammed, silent or lost and full tables; harms where the few that
         # look sound to many are too few, which chance and turns even out.  One that sends much meets all.
         # What it has few answers of, it chooses by chance, with odds as 1/cost where it knows nothing.
-        width, blur = self._width(now), self._blur(now)
-        for peer in self._up:
-            if allowed and not allowed(peer.info):
-                continue
-            if peer.info.started_ms > 0 and not self._may_warm(now, peer):
+        # A draw so high that not even the quickest server could win with it settles a server at once.
+        width, blur, win = self._width(now), self._blur(now), math.inf
+        low = min(self._low, self._mean / max(self._largest, 0.1))
+        if allowed or now < self._warm_at:
+            met, chances = list[Peer](), list[float]()
+            for peer in self._up:
+                if allowed and not allowed(peer.info):
+                    continue
+                if peer.info.started_ms > 0 and not self._may_warm(now, peer):
+                    continue
+                if width <= len(met):
+                    break
+                met.append(peer)
+                chances.append(draw())
+        else:
+            met = self._up[:math.ceil(width)]
+            chances = [draw() for _ in met]
+        for peer, chance in zip(met, chances, strict=True):
+            if chance >= win:
                 continue
-            if width <= 0:
-                break
-            width -= 1
-            base, queue = self._expect(now, peer)
-            cost = base * (1 + len(peer.out)) + queue
-            if peer.failing:
-                cost *= 1 + FAIL_COST * peer.failures(now)
-            if worst is None or cost > worst[0]:
-                worst = cost, peer
-            cost *= (-math.log(1 - draw())) ** blur
+            cost = self._cost(now, peer) * (-math.log(1 - chance)) ** blur
             if peer.info.zone != home:
                 cost *= OTHER_ZONE
             if peer.info.id in tried:
@@ -506,8 +529,10 @@
                 cost *= 1 + self._unmet * len(self._up)
             if best is None or cost < best[0]:
                 best = cost, peer
-        if worst and width <= 0 and draw() < TURN_CHANCE:
-            self._step_back(now, worst[1])
+                least = (cost / low) ** (1 / blur) if low > 0 and cost < low * WIN_MOST else math.inf
+                win = 1 - math.exp(-least * (1 + ROUNDING)) + ROUNDING
+        if met and width <= len(met) and draw() < TURN_CHANCE:
+            self._step_back(now, max(met, key=lambda peer: self._cost(now, peer)))
         return None if best is None else (best[1].info, sum(self._expect(now, best[1])))
 
     def sent(self, now: float, server: int, key: tuple[str, int]) -> None:
@@ -536,6 +561,9 @@
                 peer.base = peer.latency = self._mean / max(peer.info.size, 0.1)
             gain = BASE_GAIN_DOWN if rtt < peer.base else BASE_GAIN_UP
             peer.base += max(gain, 1 / (peer.answers + BASE_PRIOR)) * (rtt - peer.base)
+            self._low, self._heard = min(self._low, peer.base), self._heard + 1
+            if self._heard >= LOW_EVERY:
+                self._bounds()
             peer.answers += 1
             peer.latency += EWMA_GAIN * (rtt - peer.latency)
             peer.timed = now
--- /dev/null
+++ b/tests/test_decide_pick.py
@@ -0,0 +1,127 @@
+"""The choice of a server passes over what cannot win, and gives what a look at each of them would give.
+
+The plain look is kept here; both are told the same events and must decide the same, to the last draw of chance.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+
+import pytest
+
+from martenstep import interface as api
+from martenstep.config.settings import module_settings
+from martenstep.decide import (
+    CONNECTED_MS,
+    FAIL_COST,
+    OTHER_ZONE,
+    TURN_CHANCE,
+    Fleet,
+    Gateway,
+    Peer,
+)
+from tests.door_rig import settings
+
+VERDICTS = (api.Verdict.ERROR, api.Verdict.FULL, api.Verdict.CONNECT_FAILED, api.Verdict.RESET, api.Verdict.TIMEOUT)
+
+
+class PlainFleet(Fleet):
+    """Reckons every server in full."""
+
+    def pick(self, now: float, allowed: api.Where, tried: list[int]) -> tuple[api.Server, float] | None:
+        """As the module's, one server after the other."""
+        best: tuple[float, Peer] | None = None
+        worst: tuple[float, Peer] | None = None
+        width, blur, draw = self._width(now), self._blur(now), self._rng.random
+        for peer in self._up:
+            if allowed and not allowed(peer.info):
+                continue
+            if peer.info.started_ms > 0 and not self._may_warm(now, peer):
+                continue
+            if width <= 0:
+                break
+            width -= 1
+            base, queue = self._expect(now, peer)
+            cost = base * (1 + len(peer.out)) + queue
+            if peer.failing:
+                cost *= 1 + FAIL_COST * peer.failures(now)
+            if worst is None or cost > worst[0]:
+                worst = cost, peer
+            cost *= (-math.log(1 - draw())) ** blur
+            if peer.info.zone != self._settings.zone:
+                cost *= OTHER_ZONE
+            if peer.info.id in tried:
+                cost *= FAIL_COST
+            if now - peer.answered >= CONNECTED_MS:
+                cost *= 1 + self._unmet * len(self._up)
+            if best is None or cost < best[0]:
+                best = cost, peer
+        if worst and width <= 0 and draw() < TURN_CHANCE:
+            self._step_back(now, worst[1])
+        return None if best is None else (best[1].info, sum(self._expect(now, best[1])))
+
+
+def play(seed: int, servers: int, gateways: int, rate: float, warm_ms: float) -> int:
+    """A stream of events for both; gives how many sends there were."""
+    rng = random.Random(seed)
+    door = settings("store { timeout_ms: 50 }")
+    door.instances = gateways
+    rules = door.rules
+    rules.warm_within_ms, rules.cold_from, rules.fall_multiple, rules.fall_window_ms = warm_ms, 0.25, 4, 1000
+    told = module_settings(door)
+    ours, plain = Gateway(told, seed), Gateway(told, seed)
+    plain._fleet.__class__ = PlainFleet
+    now, order, sends = 1e5, 0, 0
+    heap: list[tuple[float, int, api.Event]] = []
+    attempts: dict[str, int] = {}
+    slow, bad = ({number for number in range(1, servers + 1) if rng.random() < share} for share in (0.15, 0.1))
+
+    def server(number: int, state: api.State = api.State.UP, started: float = 0.0) -> api.Server:
+        return api.Server(number, "ab"[number % 2], "std", number % 3, state, rng.choice((1.0, 1.0, 0.6, 2.0)), started)
+
+    def tell(event: api.Event) -> None:
+        nonlocal order, sends
+        actions = ours.handle(now, event)
+        assert actions == plain.handle(now, event), (seed, event)
+        for action in actions:
+            order += 1
+            if isinstance(action, api.Send):
+                sends += 1
+                number = attempts[action.id] = attempts.get(action.id, -1) + 1
+                fails = action.server in bad and rng.random() < 0.6
+                verdict = rng.choice(VERDICTS) if fails else api.Verdict.OK
+                rtt = rng.expovariate(1 / 30) * (8 if action.server in slow else 1) + rng.choice((0.0, 1.0, 20.0))
+                ended = verdict is api.Verdict.OK
+                heapq.heappush(heap, (now + rtt, order, api.Outcome(action.id, number, action.server, verdict, rtt,
+                                                                    ended)))
+            elif isinstance(action, api.Wake):
+                heapq.heappush(heap, (max(action.at_ms, now), order, api.Due(action.token)))
+            elif isinstance(action, api.Count):
+                verdict = rng.choice((api.Verdict.OK, api.Verdict.OK, api.Verdict.TIMEOUT))
+                heapq.heappush(heap, (now + rng.choice((1, 5, 60)), order, api.Total(action.name, verdict, 3.0,
+                                                                                     action.units)))
+    tell(api.Members(api.Scope.FULL, tuple(server(number) for number in range(1, servers + 1))))
+    for number in range(250):
+        until = now + rng.expovariate(rate)
+        while heap and heap[0][0] <= until:
+            at, _, event = heapq.heappop(heap)
+            now = max(now, at)
+            tell(event)
+        now = until
+        if rng.random() < 0.02:
+            state = rng.choice((api.State.UP, api.State.UP, api.State.DRAINING))
+            changed = server(rng.randrange(1, servers + 3), state, rng.choice((0.0, now - rng.random() * 3000)))
+            tell(api.Members(api.Scope.CHANGES, (changed,)))
+        tell(api.Request(f"r{number}", rng.choice(("read", "read", "write", "pay")), rng.choice(("open", "plain")),
+                         rng.randrange(20), rng.choice((4000.0, 300.0, 50.0)), rng.choice((1.0, 2.0)), gateways, 0))
+    assert ours._fleet._rng.getstate() == plain._fleet._rng.getstate()
+    return sends
+
+
+@pytest.mark.parametrize("servers", [1, 5, 14, 140, 400])
+@pytest.mark.parametrize(("gateways", "rate"), [(1, 1.0), (2, 0.05), (30, 3.0), (380, 0.2)])
+@pytest.mark.parametrize("warm_ms", [0.0, 3000.0])
+def test_the_choice_is_that_of_a_look_at_each_server(servers: int, gateways: int, rate: float, warm_ms: float) -> None:
+    assert play(servers * 1000 + gateways, servers, gateways, rate, warm_ms) > 0
