--- a/martenstep/cli/lab.py
+++ b/martenstep/cli/lab.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import os
 import sys
 import time
 from pathlib import Path
+from typing import Any, NoReturn
 
 import click
 import msgspec
@@ -37,9 +39,7 @@
         try:
             result = judged.emulate(load_day(file), seed)
         except Faults as error:
-            for fault in error.faults:
-                click.echo(fault.told(error.file), err=True)
-            sys.exit(USAGE)
+            _faults(error)
         except NotEmulatedError as error:
             click.echo(f"{file}: {error}", err=True)
             sys.exit(USAGE)
@@ -50,3 +50,134 @@
             click.echo(report.table(result))
             click.echo(f"emulated in {time.perf_counter() - begin:.1f} s, {result['events']} events\n")
     sys.exit(0 if kept else BROKEN)
+
+
+class _Progress:
+    """Runs done and the time left, on a terminal; nothing elsewhere."""
+
+    def __init__(self) -> None:
+        self._told = sys.stderr.isatty()
+
+    def __call__(self, done: int, total: int, left_s: float) -> None:
+        if self._told:
+            click.echo(f"\r{done} of {total} runs, {left_s / 60:.1f} min left ", nl=done == total, err=True)
+
+
+def _faults(error: Faults) -> NoReturn:
+    for fault in error.faults:
+        click.echo(fault.told(error.file), err=True)
+    sys.exit(USAGE)
+
+
+@lab.command("run", epilog=example("martenstep lab run plans/doors.txtpb --out out/doors"))
+@click.argument("plan", type=FILE)
+@click.option("--out", type=FILE, required=True, help="Folder of the result; an interrupted run goes on there.")
+@click.option("--workers", type=click.IntRange(1, 256), default=None, help="Processes; all cores but one otherwise.")
+def run(plan: Path, out: Path, workers: int | None) -> None:
+    """Run the experiment of PLAN; exit 3 where a run broke a rule."""
+    from martenstep.config.settings import read_text
+    from martenstep.lab.experiment.plan import load_plan
+    from martenstep.lab.experiment.run import RunError, load_result, run_plan
+    try:
+        made = load_plan(plan)
+        file = run_plan(made, read_text(plan), plan.parent, out, workers or max((os.cpu_count() or 2) - 1, 1),
+                        _Progress())
+        rows, _ = load_result(file)
+    except Faults as error:
+        _faults(error)
+    except (RunError, OSError) as error:
+        raise click.UsageError(str(error)) from None
+    broken = [row for row in rows if row["broken"]]
+    click.echo(f"{file}: {len(rows)} runs, {len(broken)} of them broke a rule")
+    for row in broken[:10]:
+        click.echo(f"{row['arm']}, repetition {row['repetition']}: {', '.join(row['broken'])}")
+    sys.exit(BROKEN if broken else 0)
+
+
+METRICS = click.option("--metric", "names", multiple=True, help="Only these.")
+
+
+def _result(path: Path, names: tuple[str, ...]) -> tuple[list[dict[str, Any]], dict[str, str], list[str]]:
+    from martenstep.lab.experiment.compare import metrics
+    from martenstep.lab.experiment.run import RunError, load_result
+    try:
+        rows, held = load_result(path)
+    except RunError as error:
+        raise click.UsageError(str(error)) from None
+    known = metrics(rows)
+    odd = [name for name in names if name not in known]
+    if odd:
+        raise click.UsageError(f"no metric {odd[0]!r} (there are: {', '.join(known)})")
+    return rows, held, list(names) or known
+
+
+def _baseline(rows: list[dict[str, Any]], baseline: str) -> str:
+    known = {row["arm"] for row in rows}
+    if baseline and baseline not in known:
+        raise click.UsageError(f"no arm {baseline!r} (there are: {', '.join(sorted(known))})")
+    return baseline
+
+
+@lab.command("compare", epilog=example("martenstep lab compare out/doors --baseline 3 --metric over_share"))
+@click.argument("result", type=FILE)
+@click.option("--baseline", default="", help="An arm that the others are held against, seed by seed.")
+@METRICS
+def compare(result: Path, baseline: str, names: tuple[str, ...]) -> None:
+    """Print means with 95% intervals, and paired differences, of RESULT."""
+    from martenstep.lab.experiment.compare import table
+    rows, _, shown = _result(result, names)
+    click.echo(table(rows, shown, _baseline(rows, baseline)))
+
+
+@lab.command("report", epilog=example("martenstep lab report out/doors --out docs/studies/doors"))
+@click.argument("result", type=FILE)
+@click.option("--out", type=FILE, required=True, help="Folder of the charts, the table and the page.")
+@click.option("--baseline", default="", help="An arm that the others are held against; the plan's otherwise.")
+@METRICS
+def report_(result: Path, out: Path, baseline: str, names: tuple[str, ...]) -> None:
+    """Draw RESULT: charts as SVG and PNG, a table, one HTML page with all of it."""
+    from martenstep.lab.experiment.plan import parse_plan
+    from martenstep.lab.experiment.report import write
+    rows, held, _ = _result(result, names)
+    plan = parse_plan(held["plan"], str(result))
+    _, _, shown = _result(result, names or tuple(plan.metric))
+    made = write(rows, held, shown, _baseline(rows, baseline or plan.baseline), out)
+    click.echo(f"{made[-1]}: {len(made)} files")
+
+
+@lab.command("search", epilog=example("martenstep lab search days/first.txtpb --metric over_share --out worst.txtpb"))
+@click.argument("day", type=FILE)
+@click.option("--metric", default="over_share", show_default=True, help="The figure that is to be worst.")
+@click.option("--low", is_flag=True, help="The lowest is the worst.")
+@click.option("--runs", type=click.IntRange(1, 10_000), default=100, show_default=True)
+@click.option("--shrink-runs", type=click.IntRange(0, 10_000), default=60, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--out", type=FILE, required=True, help="File of the day that is found.")
+def search(day: Path, metric: str, low: bool, runs: int, shrink_runs: int, seed: int, out: Path) -> None:
+    """Find troubles for DAY that make a figure worst or break a rule, shrink them, and save the day.
+
+    Exit 3 where a rule broke."""
+    from google.protobuf import text_format
+
+    from martenstep.lab import day_pb2
+    from martenstep.lab.day import load_day
+    from martenstep.lab.experiment import search as searching
+    from martenstep.lab.experiment.run import measure
+    try:
+        base = load_day(day)
+    except Faults as error:
+        _faults(error)
+
+    def badness(made: day_pb2.Day) -> float:
+        found = measure(made)
+        if metric not in found:
+            raise click.UsageError(f"no metric {metric!r} (there are: {', '.join(found)})")
+        return float("inf") if found["broken"] else -found[metric] if low else found[metric]
+    found = searching.search(base, badness, runs, seed, told=lambda tried, worst: _Progress()(tried, runs, 0.0))
+    small = searching.shrink(found, badness, shrink_runs)
+    small.day.name = out.stem
+    out.write_text(text_format.MessageToString(small.day), encoding="utf-8")
+    rule = small.badness == float("inf")
+    click.echo(f"{out}: {'a rule breaks' if rule else f'{metric} {abs(small.badness):.4g}'}, {len(small.day.event)} "
+               f"troubles; {small.tried} days tried")
+    sys.exit(BROKEN if rule else 0)
--- a/martenstep/lab/play.py
+++ b/martenstep/lab/play.py
@@ -33,6 +33,7 @@
 )
 from martenstep.standins.base import Trace, now_ms, steer
 
+MOST_DOORS, MOST_SERVERS = 64, 200  # a process each
 READY_S = 30.0  # a process that is not ready by then has failed
 LEAD_MS = 700.0  # from all being ready to the first request: doors read the list
 STOP_S = 15.0  # a process that has not left by then is killed
@@ -455,6 +456,9 @@
             elif path.suffix in (".jsonl", ".log", ".json", ".txtpb"):
                 path.unlink()
     out.mkdir(parents=True, exist_ok=True)
+    if day.fleet.doors > MOST_DOORS or day.fleet.servers > MOST_SERVERS:
+        raise PlayError(f"{day.name}: {day.fleet.doors} doors and {day.fleet.servers} servers are too many processes "
+                        f"for one machine (at most {MOST_DOORS} and {MOST_SERVERS}); martenstep lab emulate plays it")
     if shutil.disk_usage(out).free < 100 << 20:
         raise PlayError(f"{out}: under 100 MiB of disk are free")
     (out / "day.txtpb").write_text(text_format.MessageToString(day), encoding="utf-8")
