--- a/martenstep/cli/lab.py
+++ b/martenstep/cli/lab.py
@@ -73,19 +73,21 @@
 @click.argument("plan", type=FILE)
 @click.option("--out", type=FILE, required=True, help="Folder of the result; an interrupted run goes on there.")
 @click.option("--workers", type=click.IntRange(1, 256), default=None, help="Processes; all cores but one otherwise.")
-def run(plan: Path, out: Path, workers: int | None) -> None:
+@click.option("--sockets", is_flag=True, help="Play the days on loopback sockets, one at a time.")
+def run(plan: Path, out: Path, workers: int | None, sockets: bool) -> None:
     """Run the experiment of PLAN; exit 3 where a run broke a rule."""
     from martenstep.config.settings import read_text
     from martenstep.lab.experiment.plan import load_plan
     from martenstep.lab.experiment.run import RunError, load_result, run_plan
+    from martenstep.lab.play import PlayError
     try:
         made = load_plan(plan)
         file = run_plan(made, read_text(plan), plan.parent, out, workers or max((os.cpu_count() or 2) - 1, 1),
-                        _Progress())
+                        _Progress(), sockets)
         rows, _ = load_result(file)
     except Faults as error:
         _faults(error)
-    except (RunError, OSError) as error:
+    except (RunError, PlayError, OSError) as error:
         raise click.UsageError(str(error)) from None
     broken = [row for row in rows if row["broken"]]
     click.echo(f"{file}: {len(rows)} runs, {len(broken)} of them broke a rule")
@@ -181,3 +183,27 @@
     click.echo(f"{out}: {'a rule breaks' if rule else f'{metric} {abs(small.badness):.4g}'}, {len(small.day.event)} "
                f"troubles; {small.tried} days tried")
     sys.exit(BROKEN if rule else 0)
+
+
+@lab.command("match", epilog=example("martenstep lab match out/first"))
+@click.argument("folders", type=FILE, nargs=-1, required=True)
+def match(folders: tuple[Path, ...]) -> None:
+    """Hold the emulation of played days against what their FOLDERS hold; exit 1 where they part by more than stated."""
+    from martenstep.lab.emulate.match import TOLERANCES
+    from martenstep.lab.emulate.match import match as matched
+    from martenstep.lab.emulate.world import NotEmulatedError
+    from martenstep.lab.report import TraceError
+    apart = False
+    click.echo("| day | " + " | ".join(TOLERANCES) + " |\n| --- |" + " --- |" * len(TOLERANCES))
+    for folder in folders:
+        try:
+            pairs = matched(folder)
+        except Faults as error:
+            _faults(error)
+        except (TraceError, NotEmulatedError) as error:
+            raise click.UsageError(str(error)) from None
+        apart = apart or not all(pair.within for pair in pairs)
+        cells = [f"{pair.played:.4g}, {pair.emulated:.4g}{'' if pair.within else ' APART'}" for pair in pairs]
+        click.echo(f"| {folder.name} | {' | '.join(cells)} |")
+    click.echo("\nplayed, emulated")
+    sys.exit(1 if apart else 0)
--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -18,6 +18,7 @@
 
 from martenstep.cli.hooks import hook
 from martenstep.cli.lab import lab
+from martenstep.cli.load import load
 from martenstep.cli.words import example as _example
 from martenstep.config import door_pb2 as pb
 from martenstep.config.settings import load_door
@@ -421,6 +422,7 @@
 
 cli.add_command(hook)
 cli.add_command(lab)
+cli.add_command(load)
 
 
 def main() -> None:
--- a/martenstep/lab/experiment/run.py
+++ b/martenstep/lab/experiment/run.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import json
 import subprocess
@@ -23,7 +24,8 @@
 from martenstep.lab.emulate.world import World
 from martenstep.lab.experiment.plan import Run, runs_of
 from martenstep.lab.measures import summary
-from martenstep.lab.report import figures
+from martenstep.lab.play import play_day
+from martenstep.lab.report import figures, judged_traffic
 from martenstep.lab.rules import Judge
 
 JOURNAL, RESULT, PLAN = "rows.jsonl", "result.parquet", "plan.txtpb"
@@ -58,11 +60,22 @@
             "events": float(world.sim.events), "seconds": round(time.perf_counter() - begin, 3)}
 
 
+def measure_played(day: day_pb2.Day, folder: Path) -> Row:
+    """Play one day on loopback sockets; gives the same figures.  Raises PlayError."""
+    begin = time.perf_counter()
+    asyncio.run(play_day(day, folder, lambda part, what: None))
+    traffic, breaches = judged_traffic(folder, day)
+    told = summary(day, traffic, figures(day, traffic))
+    return {**told, "breaches": float(len(breaches)), "broken": sorted({breach.rule for breach in breaches}),
+            "tries": float(len(traffic.tries)), "store_calls_a_1000_tries": 0.0, "events": 0.0,
+            "seconds": round(time.perf_counter() - begin, 3)}
+
+
 def _one(arm: str, levels: tuple[tuple[str, str], ...], values: tuple[float, ...], repetition: int, seed: int,
-         data: bytes) -> Row:
+         data: bytes, folder: Path | None) -> Row:
     day = day_pb2.Day()
     day.ParseFromString(data)
-    found = measure(day)
+    found = measure(day) if folder is None else measure_played(day, folder / f"{arm.replace('/', '-')}-{repetition}")
     return {"arm": arm, "repetition": repetition, "seed": seed, **{f"factor_{name}": level for name, level in levels},
             **{f"value_{name}": value for (name, _), value in zip(levels, values, strict=True)}, **found}
 
@@ -90,13 +103,16 @@
 
 
 def run_plan(plan: plan_pb2.Plan, text: str, folder: Path, out: Path, workers: int,
-             progress: Callable[[int, int, float], None]) -> Path:
-    """Run what is not there yet; gives the result's file.  `progress` is told of runs done, of all, and of the seconds
+             progress: Callable[[int, int, float], None], sockets: bool = False) -> Path:
+    """Run what is not there yet, in virtual time or on loopback sockets (one at a time, since the machine is part of
+    what is measured there); gives the result's file.  `progress` is told of runs done, of all, and of the seconds
     left about.  Raises RunError, Faults, OSError."""
     runs = runs_of(plan, folder)
     out.mkdir(parents=True, exist_ok=True)
     days = hashlib.sha256(b"".join(run.day for run in runs)).hexdigest()[:16]
-    head: Row = {"plan": hashlib.sha256(text.encode()).hexdigest()[:16], "days": days, "revision": revision()}
+    head: Row = {"plan": hashlib.sha256(text.encode()).hexdigest()[:16], "days": days, "revision": revision(),
+                 "sockets": sockets}
+    workers = 1 if sockets else workers
     journal = out / JOURNAL
     rows = _kept(journal, head)
     done = {_key(row) for row in rows}
@@ -114,7 +130,8 @@
             while True:
                 for run in todo:
                     arm = run.arm
-                    out_now.add(pool.submit(_one, arm.name, arm.levels, arm.values, run.repetition, run.seed, run.day))
+                    out_now.add(pool.submit(_one, arm.name, arm.levels, arm.values, run.repetition, run.seed, run.day,
+                                            out / "played" if sockets else None))
                     if len(out_now) >= 2 * workers:
                         break
                 if not out_now:
--- a/martenstep/lab/report.py
+++ b/martenstep/lab/report.py
@@ -22,6 +22,7 @@
     REFUSED,
     RULES,
     SERVED_BELOW,
+    Breach,
     Judge,
     Traffic,
     checked,
@@ -83,12 +84,8 @@
     }
 
 
-def judge_folder(folder: Path) -> dict[str, Any]:
-    """Judge a folder's traces; raises TraceError where it holds no day."""
-    try:
-        day = load_day(folder / "day.txtpb")
-    except Faults as error:
-        raise TraceError(str(error)) from None
+def judged_traffic(folder: Path, day: pb.Day) -> tuple[Traffic, list[Breach]]:
+    """A played day's traffic and what it broke; raises TraceError where the folder holds no whole day."""
     store = () if day.own_counter else ("redis.jsonl",)
     missing = [name for name in ("clients.jsonl", "feed.jsonl", "events.jsonl", *store) if not (folder / name).exists()]
     if missing:
@@ -107,10 +104,20 @@
         breaches += recorded(traffic, exported)
     else:
         breaches += counted(traffic, read_lines(folder / "redis.jsonl"), day.judge_slack_ms)
-    guarded = day.HasField("auth_services")
-    if guarded:
+    if day.HasField("auth_services"):
         verdicts = [line for path in sorted(folder.glob("auth-*.jsonl")) for line in read_lines(path)]
         breaches += checked(traffic, verdicts, day.judge_slack_ms)
+    return traffic, breaches
+
+
+def judge_folder(folder: Path) -> dict[str, Any]:
+    """Judge a folder's traces; raises TraceError where it holds no day."""
+    try:
+        day = load_day(folder / "day.txtpb")
+    except Faults as error:
+        raise TraceError(str(error)) from None
+    traffic, breaches = judged_traffic(folder, day)
+    guarded = day.HasField("auth_services")
     rules = {}
     for rule in (*RULES, RECORDED if day.own_counter else COUNTED, *([CHECKED] if guarded else [])):
         found = [breach for breach in breaches if breach.rule == rule]
