A given-up attempt resets its connection; cuts of the network and other limiters in the emulator, two studies

So it is over sockets: a socket closed with data unsent goes on sending it.

Change: connections of attempts that are given up are closed with SO_LINGER 0, so that the kernel forgets what it holds; a test with a server that reads nothing fails without it.

--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import ssl
+import struct
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, cast
 
 import h11
@@ -20,6 +23,7 @@
 Accepted = Callable[["WatchedReader", asyncio.StreamWriter, "WatchedProtocol"], None]
 
 
+DISCARD = struct.pack("ii", 1, 0)  # SO_LINGER for no time: a close that resets
 READ_BYTES = 65536  # of one read, and what a stream buffers before it stops reading
 
 
@@ -150,7 +154,15 @@
         return not self.reader.touched and not self.writer.transport.is_closing()
 
     def abort(self) -> None:
-        """Close at once; what is still buffered is not written any more."""
+        """Close at once with a reset: what is still buffered, here or in the kernel, reaches nobody any more.
+
+        A plain close would go on delivering a request that was given up, for minutes where the network lost it: after
+        its final answer, and beside its next attempt.
+        """
+        sock = self.writer.get_extra_info("socket")
+        if sock is not None and not self.writer.transport.is_closing():
+            with suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD)
         self.writer.transport.abort()
 
 
--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -30,6 +30,7 @@
 FEED_TROUBLES = (pb.FEED_STALE, pb.FEED_PARTIAL, pb.FEED_DOWN)
 LEAVES_BY = 0.1  # parts of the aim: a client that leaves does so while its request is on its way
 KINDS = ("standard", "slow")
+LIMITERS = ("", "each door", "split", "central, open", "central, closed")
 LONGEST_MS = 30 * 60_000.0
 
 
@@ -52,7 +53,7 @@
         if not number:
             check.fault(node.at("trouble"), "fits only a day with auth_services")
             return
-    if event.trouble in STORE_TROUBLES + FEED_TROUBLES:
+    if event.trouble in STORE_TROUBLES + FEED_TROUBLES + (pb.NET_CUT,):
         if event.trouble in (pb.COUNTER_KILLED, pb.STORE_SLOTS_MOVE):
             check.number(event, node, "count", 1, 10_000)
         if event.target:
@@ -70,6 +71,8 @@
         if day.store_topology != cfg.Store.CLUSTER:
             check.fault(node.at("trouble"), "fits only a cluster: set store_topology")
         check.number(event, node, "count", 1, SLOTS)
+    if event.trouble == pb.NET_CUT:
+        check.needed(event, node, "source", "sink")
     if event.trouble == pb.SERVER_CLASS_FAILS and not getattr(event, "class"):
         check.fault(node.at("class"), "missing")
     if event.trouble in (pb.STORE_PAUSED, pb.DOOR_KILLED, pb.DOOR_ROLLED, pb.COUNTER_KILLED) and not event.for_ms:
@@ -134,6 +137,8 @@
             compile_source(release.source)
         except HookFault as fault:
             check.fault(at.at("source"), str(fault))
+    if day.limiter not in LIMITERS:
+        check.fault(root.at("limiter"), f"expected one of {', '.join(LIMITERS[1:])}")
     check_rules(check, day.rules, root.at("rules"))
     check.above_zero(day, root, "store_timeout_ms", "judge_slack_ms")
 
@@ -153,7 +158,7 @@
 
 def targets_of(day: pb.Day, event: pb.Event) -> list[int]:
     """Numbers of the doors, servers or authentication services that a trouble is for; none for store and feed."""
-    if event.trouble in STORE_TROUBLES + FEED_TROUBLES:
+    if event.trouble in (*STORE_TROUBLES, *FEED_TROUBLES, pb.NET_CUT):
         return []
     if event.target:
         return list(event.target)
--- a/martenstep/lab/emulate/doors.py
+++ b/martenstep/lab/emulate/doors.py
@@ -280,6 +280,7 @@
         connection.up = False
         connection.back.open = False
         self._uncount(connection)
+        connection.forth.reset()
         connection.forth.send(connection.closed, size=60)
 
     def _uncount(self, connection: Connection) -> None:
--- /dev/null
+++ b/martenstep/lab/emulate/limited.py
@@ -0,0 +1,80 @@
+"""A door whose quota is kept by another limiter than the module."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from martenstep.door import events as ev
+from martenstep.door.http import header, own_answer
+from martenstep.lab import day_pb2 as pb
+from martenstep.lab.day import customers_of
+from martenstep.lab.emulate.doors import EmuDoor
+from martenstep.lab.emulate.limiters import Buckets, share
+from martenstep.lab.emulate.net import Pipe
+
+CALL_MS = 0.004  # of the store's one core
+CLOSED_WAIT_MS = 200.0  # retry-after where the store does not answer and nothing passes without it
+
+
+class LimitedDoor(EmuDoor):
+    """Asks a limiter first; what it admits goes to the engine as of a plan without a quota."""
+
+    def __init__(self, day: pb.Day, central: Buckets, *words: Any) -> None:
+        self._kind, self._timeout = day.limiter, day.store_timeout_ms
+        self._own, self._central = Buckets(), central
+        self._plans = {plan.name: plan for plan in day.plan}
+        self._known = {customer.key: (customer.plan, len(customer.doors))
+                       for group in customers_of(day) for customer in group}
+        self._units = {getattr(work, "class"): work.units for work in day.work}
+        self._default = day.customers[0].plan
+        super().__init__(*words)
+
+    def _arrived(self, ticket: int, method: bytes, target: bytes, headers: ev.Headers) -> None:
+        if ticket not in self._callers or not self.alive:
+            return
+        customer = (header(headers, b"x-customer") or b"").decode()
+        plan_name, doors = self._known.get(customer, (self._default, self.settings.instances))
+        plan = self._plans[plan_name]
+        units = self._units[target.decode().split("/")[1]]
+        event = ev.Arrived(ticket, method, target, headers, "127.0.0.1")
+        if plan.rate <= 0:
+            self.act(event)
+        elif self._kind.startswith("central"):
+            self._ask(event, customer, plan, units)
+        else:
+            part = share(self._kind, doors)
+            wait = self._own.take(self._sim.now, customer, plan.rate * part, max(plan.burst * part, units), units)
+            self._decided(event, wait)
+
+    def _ask(self, event: ev.Arrived, customer: str, plan: Any, units: float) -> None:
+        """One bucket for all, in the store; without an answer in time the request passes, or does not."""
+        done = [False]
+
+        def answer(wait: float) -> None:
+            if not done[0]:
+                done[0] = True
+                self._decided(event, wait)
+        forth, back = Pipe(self._net, self.place, self._store_place), Pipe(self._net, self._store_place, self.place)
+        forth.send(self._at_central, customer, plan, units, back, answer, size=120)
+        late = 0.0 if self._kind.endswith("open") else CLOSED_WAIT_MS
+        self._sim.after(self._timeout, answer, late)
+
+    def _at_central(self, customer: str, plan: Any, units: float, back: Pipe, answer: Any) -> None:
+        redis = self._redis
+        assert redis is not None
+        if redis.down or redis.hangs or redis.error:
+            return
+        leaves = redis.serve(CALL_MS)
+        redis.calls += 1
+        wait = self._central.take(self._sim.now, customer, plan.rate, plan.burst, units)
+        self._sim.at(leaves, lambda: back.send(answer, wait, size=60))
+
+    def _decided(self, event: ev.Arrived, wait: float) -> None:
+        if wait <= 0:
+            self.act(event)
+            return
+        caller = self._callers.pop(event.ticket, None)
+        if caller is not None:
+            self.answers["quota"] = self.answers.get("quota", 0) + 1
+            headers, body = own_answer("quota", "", min(wait, self.settings.max_retry_after_ms))
+            caller.pipe.send(caller.reply, 429, headers, True, size=len(body) + 300)
--- a/martenstep/lab/emulate/store.py
+++ b/martenstep/lab/emulate/store.py
@@ -32,8 +32,7 @@
 
     def take(self, door: str, write: Write, key_of: Any) -> tuple[float, list[Held | Fault] | None]:
         """When one write's answers leave, and what they are; None where they never do."""
-        begin = max(self._sim.now, self._busy_until, self.paused_until)
-        self._busy_until = done = begin + self._call_ms * len(write.ops) + self.slow_ms
+        done = self.serve(self._call_ms * len(write.ops))
         self.calls += len(write.ops)
         if write.load:
             self.keys.run(self._session, self._sim.now, [b"SCRIPT", b"LOAD", script.LUA.encode()])
@@ -44,6 +43,12 @@
             return done, None
         return done, answers
 
+    def serve(self, cost_ms: float) -> float:
+        """When something that costs so much of its one core is done."""
+        begin = max(self._sim.now, self._busy_until, self.paused_until)
+        self._busy_until = begin + cost_ms + self.slow_ms
+        return self._busy_until
+
     def _run(self, door: str, op: Op, plain: bool, key: bytes) -> Held | Fault:
         if self.error:
             return Fault(self.error)
--- a/martenstep/lab/emulate/world.py
+++ b/martenstep/lab/emulate/world.py
@@ -13,6 +13,8 @@
 from martenstep.lab.emulate.clients import EmuCrowd, manners_of
 from martenstep.lab.emulate.core import Draws, Sim, Streams
 from martenstep.lab.emulate.doors import Costs, EmuDoor
+from martenstep.lab.emulate.limited import LimitedDoor
+from martenstep.lab.emulate.limiters import Buckets
 from martenstep.lab.emulate.net import Network, Pipe, Place, Weather
 from martenstep.lab.emulate.servers import EmuServer
 from martenstep.lab.emulate.store import EmuStore
@@ -177,6 +179,11 @@
         self.doors: dict[int, EmuDoor] = {}
         self._lives = [0] * fleet.doors
         self._settings = door_settings_at(day, 0)
+        self._central = Buckets()
+        if day.limiter:  # the doors' own quota is out of the way; their ceilings are what it must keep as well
+            for plan in self._settings.plan:
+                for name in ("rate", "burst", "ceiling_rate", "ceiling_burst", "ceiling_slack"):
+                    plan.ClearField(name)
         for number in range(fleet.doors):
             self._door(number)
         self.crowd = EmuCrowd(self.sim, self.net, self.doors, manners_of(day), Draws(streams.of("clients")),
@@ -205,8 +212,9 @@
         settings.zone = zone_name(number % self.day.fleet.zones)
         self._lives[number] += 1
         seed = self._seed * 1_000_003 + number * 101 + self._lives[number]
-        door = EmuDoor(self.sim, self.net, settings, number, seed, self.servers, self._zones, self.redis, self._costs,
-                       self.feed.subscribe)
+        words = (self.sim, self.net, settings, number, seed, self.servers, self._zones, self.redis, self._costs,
+                 self.feed.subscribe)
+        door = LimitedDoor(self.day, self._central, *words) if self.day.limiter else EmuDoor(*words)
         self.doors[number] = door
         door.warm(before.follower.copy(self.sim.now) if before is not None else None)
 
@@ -351,6 +359,7 @@
 
     def _store_emptied(self, event: pb.Event, targets: list[int]) -> None:
         self.redis.empty()
+        self._central.clear()
 
     def _store_slow(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
         return self._store("slow_ms", event.factor, 0.0)
@@ -379,6 +388,18 @@
         for door in self.doors.values():
             door.store_gone()
 
+    # Network
+
+    def _net_cut(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
+        ways = [(event.source, event.sink)] + ([(event.sink, event.source)] if event.both_ways else [])
+        for way in ways:
+            self.net.cut(*way)
+
+        def heal() -> None:
+            for way in ways:
+                self.net.cut(*way, on=False)
+        return heal
+
     # Feed
 
     def _feed_stale(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
--- a/martenstep/lab/play.py
+++ b/martenstep/lab/play.py
@@ -459,6 +459,8 @@
     if day.fleet.doors > MOST_DOORS or day.fleet.servers > MOST_SERVERS:
         raise PlayError(f"{day.name}: {day.fleet.doors} doors and {day.fleet.servers} servers are too many processes "
                         f"for one machine (at most {MOST_DOORS} and {MOST_SERVERS}); martenstep lab emulate plays it")
+    if day.limiter or any(event.trouble == pb.NET_CUT for event in day.event):
+        raise PlayError(f"{day.name}: limiters and cuts of the network are emulated only (martenstep lab emulate)")
     if shutil.disk_usage(out).free < 100 << 20:
         raise PlayError(f"{out}: under 100 MiB of disk are free")
     (out / "day.txtpb").write_text(text_format.MessageToString(day), encoding="utf-8")
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -75,7 +75,7 @@
 
 def test_each_trouble_is_brought_in_one_way_to_its_own_targets() -> None:
     for name, trouble in pb.Trouble.items():
-        if trouble != pb.NONE:
+        if trouble not in (pb.NONE, pb.NET_CUT):  # cuts are emulated only
             assert (trouble in STEERED) != hasattr(Stage, f"_{name.lower()}"), name
     day = parse_day(DAY, "small")
     day.auth_services.number = 3
--- a/tests/test_emulate.py
+++ b/tests/test_emulate.py
@@ -10,6 +10,7 @@
 from click.testing import CliRunner
 
 from martenstep.cli.main import cli
+from martenstep.config.text import Faults
 from martenstep.door import events as ev
 from martenstep.lab import day_pb2 as pb
 from martenstep.lab.day import load_day, parse_day
@@ -89,18 +90,31 @@
 def test_a_cut_holds_one_direction_until_it_is_healed() -> None:
     sim, net, one, _ = pipes(Weather())
     back, seen = Pipe(net, Place("server-1", "b"), Place("door-1", "a")), list[str]()
-    net.cut("door-1", "server-")
+    net.cut("door-1", "server-*")
     one.send(seen.append, "forth")
     back.send(seen.append, "back")
     sim.run(START_MS + 10_000)
     assert seen == ["back"]
-    net.cut("door-1", "server-", on=False)
+    net.cut("door-1", "server-*", on=False)
     sim.run(START_MS + 10_000 + RESEND_MS - 1)
     assert seen == ["back"]
     sim.run(START_MS + 11_000)
     assert seen == ["back", "forth"]
 
 
+def test_a_reset_takes_back_what_was_lost_or_held_on_the_way() -> None:
+    sim, net, one, other = pipes(Weather())
+    seen = list[str]()
+    net.cut("door-1", "server-*")
+    one.send(seen.append, "given up")
+    other.send(seen.append, "kept")
+    one.reset()
+    one.send(seen.append, "closed")
+    net.cut("door-1", "server-*", on=False)
+    sim.run(START_MS + 1e4)
+    assert sorted(seen) == ["closed", "kept"]
+
+
 def test_bandwidth_and_zones_tell() -> None:
     _, net, _, _ = pipes(Weather(jitter=0.0))
     assert net.latency("a", "a", 0) == 0.15 and net.latency("a", "b", 0) == 0.6
@@ -260,3 +274,47 @@
     assert '"kept":true' in told.output
     file.write_text("nonsense")
     assert CliRunner().invoke(cli, ["lab", "emulate", str(file)]).exit_code == 2
+
+
+# Cuts and other limiters --------------------------------------------------------------------------------
+
+
+def test_a_day_with_a_cut_keeps_its_rules_and_heals() -> None:
+    for source, sink in (("door-1", "server-*"), ("server-*", "door-1"), ("store", "door-*"), ("zone-a", "zone-b")):
+        day = small(f"event {{ at_ms: 1000 for_ms: 1500 trouble: NET_CUT source: '{source}' sink: '{sink}' }}")
+        world = World(day)
+        result = judged(day, world.play())
+        assert result["kept"], (source, sink, result["rules"])
+        late = [line for line in world.traces.clients if line["what"] == "answer" and line["t"] > START_MS + 5500]
+        assert any(line["status"] == 200 for line in late) and not world.net.cuts
+
+
+def test_a_cut_is_refused_on_sockets_and_where_it_names_nobody() -> None:
+    with pytest.raises(Faults, match="source: missing"):
+        small("event { at_ms: 1000 for_ms: 1500 trouble: NET_CUT sink: 'a' }")
+    with pytest.raises(Faults, match="limiter: expected one of"):
+        small("limiter: 'best'")
+
+
+def sent_units(day: pb.Day) -> float:
+    """Units that reached servers."""
+    traffic = traffic_of(World(day).play())
+    return sum(tried.units for tried in traffic.tries.values() if tried.visits)
+
+
+def test_other_limiters_do_what_they_say() -> None:
+    """One customer through two doors that asks without end: each door's own bucket gives it twice its plan, halves and
+    a central one once; a central one without its store lets all pass, or nothing."""
+    one = (SMALL.replace("number: 12", "number: 1").replace("retries: 1", "retries: 0").replace("rate: 40", "rate: 80")
+           .replace("leave_share: 0.05", ""))
+    plan = 8 + 4 * 5
+
+    def made(more: str) -> float:
+        return sent_units(parse_day(one + more, "one.txtpb"))
+    assert made("limiter: 'each door'") == pytest.approx(2 * plan, abs=4)
+    assert made("limiter: 'split'") == pytest.approx(plan, abs=4)
+    assert made("limiter: 'central, closed'") == pytest.approx(plan, abs=2)
+    down = "event { at_ms: 0 trouble: STORE_DOWN }"
+    assert made("limiter: 'central, closed'" + down) == 0
+    assert made("limiter: 'central, open'" + down) > 5 * plan
+    assert made("") == pytest.approx(plan, abs=6)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -514,3 +514,29 @@
             assert await idle.rest() == b""
             assert (await slow.rest()).startswith(b"HTTP/1.1 408")
     run(test())
+
+
+def test_what_is_given_up_is_taken_back_from_the_network_too() -> None:
+    """A plain close would go on delivering what the kernel holds, long after the request's end."""
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # most of the request waits at the door
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            listener.setblocking(False)
+            async with house(ports=(listener.getsockname()[1],)) as door:
+                peer = await door.client()
+                await peer.write(get("/read/1", "content-length: 60000\r\n", "POST") + "b" * 60_000)
+                server, _ = await loop.sock_accept(listener)
+                with server:
+                    await door.until(lambda: bool(door.driver.flights) and all(
+                        flight.body is not None and flight.body.complete and flight.body.pos == flight.body.size
+                        for flight in door.driver.flights.values()))
+                    peer.reset()
+                    await door.until(lambda: not door.driver.flights and not door.driver.pool.connections)
+                    with pytest.raises(ConnectionResetError):
+                        while await loop.sock_recv(server, 65536):
+                            pass
+                        raise AssertionError("it ended as if all had been meant")
+    run(test())
