--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -112,7 +112,9 @@
     for phase, at in zip(day.phase, root.all("phase"), strict=True):
         check.above_zero(phase, at, "for_ms")
         check.number(phase, at, "rate", 0, 100_000)
-        for name in ("hot_share", "shift_share", "first_door_share"):
+        check.number(phase, at, "burst_times", 1, 1000)
+        check.above_zero(phase, at, "burst_ms", "calm_ms", "swing_ms")
+        for name in ("hot_share", "shift_share", "first_door_share", "swing"):
             check.number(phase, at, name, 0, 1)
         if phase.only_plan:
             check.known(phase, at, "only_plan", plan_names, "plan")
@@ -140,7 +142,7 @@
     if day.limiter not in LIMITERS:
         check.fault(root.at("limiter"), f"expected one of {', '.join(LIMITERS[1:])}")
     check_rules(check, day.rules, root.at("rules"))
-    check.above_zero(day, root, "store_timeout_ms", "judge_slack_ms")
+    check.above_zero(day, root, "store_timeout_ms", "judge_slack_ms", "store_call_ms")
 
 
 def parse_day(text: str, file: str) -> pb.Day:
@@ -294,6 +296,25 @@
         return rng.choices(self._customers, cum_weights=self._cumulative)[0]
 
 
+class Modulation:
+    """How a phase's rate moves: two states that change by chance, and a swing; the usual rate is 1."""
+
+    def __init__(self, phase: pb.Phase, rng: random.Random) -> None:
+        self._phase, self._rng = phase, rng
+        self.peak = phase.burst_times * (1 + phase.swing)
+        self._burst, self._until = False, rng.expovariate(1 / phase.calm_ms)
+
+    def keeps(self, ms: float) -> bool:
+        """Whether an arrival at this moment of the phase, drawn at the peak's rate, is one; moments only grow."""
+        phase = self._phase
+        while ms >= self._until:
+            self._burst = not self._burst
+            self._until += self._rng.expovariate(1 / (phase.burst_ms if self._burst else phase.calm_ms))
+        now = (phase.burst_times if self._burst else 1.0) * (
+            1 + phase.swing * math.sin(2 * math.pi * ms / phase.swing_ms))
+        return self._rng.random() * self.peak < now
+
+
 def schedule(day: pb.Day) -> Iterator[Planned]:
     """Every request of the day, in order of time: a Poisson stream whose rate follows the phases."""
     rng = random.Random(f"{day.seed}/schedule")
@@ -303,12 +324,15 @@
     works = list(day.work)
     classes = {entry.name: entry for entry in getattr(day, "class")}
     start, number, usual = 0.0, 0, day.phase[0].rate
-    for phase in day.phase:
+    for place, phase in enumerate(day.phase):
         at = start
+        moved = Modulation(phase, random.Random(f"{day.seed}/modulation/{place}"))
         while phase.rate > 0:
-            at += rng.expovariate(phase.rate) * 1000.0
+            at += rng.expovariate(phase.rate * moved.peak) * 1000.0
             if at >= start + phase.for_ms:
                 break
+            if moved.peak > 1 and not moved.keeps(at - start):
+                continue
             only = [index for index, group in enumerate(day.customers) if group.plan == phase.only_plan]
             hot = bool(only) and rng.random() < phase.hot_share
             extra = bool(only) and not phase.hot_share and rng.random() * phase.rate > usual
--- a/martenstep/lab/emulate/limited.py
+++ b/martenstep/lab/emulate/limited.py
@@ -12,7 +12,6 @@
 from martenstep.lab.emulate.limiters import Buckets, share
 from martenstep.lab.emulate.net import Pipe
 
-CALL_MS = 0.004  # of the store's one core
 CLOSED_WAIT_MS = 200.0  # retry-after where the store does not answer and nothing passes without it
 
 
@@ -20,7 +19,7 @@
     """Asks a limiter first; what it admits goes to the engine as of a plan without a quota."""
 
     def __init__(self, day: pb.Day, central: Buckets, *words: Any) -> None:
-        self._kind, self._timeout = day.limiter, day.store_timeout_ms
+        self._kind, self._timeout, self._call_ms = day.limiter, day.store_timeout_ms, day.store_call_ms
         self._own, self._central = Buckets(), central
         self._plans = {plan.name: plan for plan in day.plan}
         self._known = {customer.key: (customer.plan, len(customer.doors))
@@ -64,7 +63,7 @@
         assert redis is not None
         if redis.down or redis.hangs or redis.error:
             return
-        leaves = redis.serve(CALL_MS)
+        leaves = redis.serve(self._call_ms)
         redis.calls += 1
         wait = self._central.take(self._sim.now, customer, plan.rate, plan.burst, units)
         self._sim.at(leaves, lambda: back.send(answer, wait, size=60))
--- a/martenstep/lab/emulate/store.py
+++ b/martenstep/lab/emulate/store.py
@@ -10,13 +10,11 @@
 from martenstep.store import script
 from martenstep.store.core import Fault, Held, Op, Write
 
-CALL_MS = 0.004  # of one core for a statement: 250,000 a second
-
 
 class EmuStore:
     """One store, shared by all doors."""
 
-    def __init__(self, sim: Sim, draws: Draws, call_ms: float = CALL_MS) -> None:
+    def __init__(self, sim: Sim, draws: Draws, call_ms: float) -> None:
         self._sim, self._draws, self._call_ms = sim, draws, call_ms
         self.keys = Keyspace()
         self._session = Session(0)
--- a/martenstep/lab/emulate/world.py
+++ b/martenstep/lab/emulate/world.py
@@ -163,7 +163,7 @@
         self.traces = Traces()
         self._costs = costs or Costs()
         fleet = day.fleet
-        self.redis = EmuStore(self.sim, Draws(streams.of("store")))
+        self.redis = EmuStore(self.sim, Draws(streams.of("store")), day.store_call_ms)
         self.feed = EmuFeed(self.sim, self.net, fleet.feed_lag_ms, Draws(streams.of("feed")),
                             self._writer(self.traces.feed))
         self.servers: dict[int, EmuServer] = {}
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -231,3 +231,42 @@
                 trace.write(json.dumps({**line, "server": 3, "attempt": 1, "t": line["t"] + 60_000}) + "\n")
     broken = CliRunner().invoke(cli, ["day", "check", str(out)])
     assert broken.exit_code == 3 and "BROKEN" in broken.output
+
+
+def arrivals(more: str, rate: float = 200.0, for_ms: float = 120_000.0) -> list[float]:
+    """When requests come in one long phase."""
+    head, tail = DAY.split("phase {", 1)
+    text = f"{head}phase {{ for_ms: {for_ms} rate: {rate} {more} }} clients {{}}"
+    assert tail
+    return [planned.at_ms for planned in schedule(parse_day(text, "day"))]
+
+
+def counts(moments: list[float], width_ms: float) -> list[int]:
+    """How many come in each stretch."""
+    made = Counter(int(at / width_ms) for at in moments)
+    return [made[number] for number in range(int(moments[-1] / width_ms))]
+
+
+def dispersion(moments: list[float]) -> float:
+    """Variance of the counts a second, in parts of their mean: 1 for a Poisson stream."""
+    held = counts(moments, 1000.0)
+    mean = sum(held) / len(held)
+    return sum((count - mean) ** 2 for count in held) / len(held) / mean
+
+
+def test_arrivals_are_poisson_modulated_or_swing_as_the_phase_says() -> None:
+    plain = arrivals("")
+    assert len(plain) / 120 == pytest.approx(200, rel=0.03) and dispersion(plain) == pytest.approx(1, abs=0.4)
+    bursts = arrivals("burst_times: 5 burst_ms: 500 calm_ms: 2000")
+    # The mean of the two states' rates by the time that each has: (2000 + 5 * 500) / 2500 = 1.8.
+    assert len(bursts) / 120 == pytest.approx(200 * 1.8, rel=0.12) and dispersion(bursts) > 20
+    day = arrivals("swing: 0.8 swing_ms: 60000")
+    assert len(day) / 120 == pytest.approx(200, rel=0.04)
+    quarters = counts(day, 15_000.0)
+    assert quarters[0] > 1.8 * quarters[2] and quarters[4] > 1.8 * quarters[6]  # sin is high, then low, in each minute
+
+
+def test_a_phase_that_moves_shifts_no_other_phases_draws() -> None:
+    later = [planned.customer for planned in schedule(parse_day(DAY, "day")) if planned.at_ms < 20_000]
+    same = parse_day(DAY.replace("rate: 150", "rate: 150 burst_times: 3"), "day")
+    assert later == [planned.customer for planned in schedule(same) if planned.at_ms < 20_000]
