Emulator: authentication services with every trouble, judged by the rule on verdicts

Change: services as models, checks by the engine's own core; the rule on verdicts on emulated traffic, shown failing on a seeded breach.

--- a/martenstep/lab/day.py
+++ b/martenstep/lab/day.py
@@ -248,7 +248,9 @@
 
 def door_settings_at(day: pb.Day, number: int) -> cfg.Door:
     """The settings of a door without a machine: its ports are numbers that nobody binds."""
-    return door_settings(day, number, {"listener": 0, "admin": 0, "store": 1, "feed": 1, "store-0": 1}, Path())
+    return door_settings(day, number, {
+        "listener": 0, "admin": 0, "store": 1, "feed": 1, "store-0": 1,
+        **{f"auth-{service}": service + 1 for service in range(day.auth_services.number)}}, Path())
 
 
 def written(door: cfg.Door) -> str:
--- a/martenstep/lab/emulate/clients.py
+++ b/martenstep/lab/emulate/clients.py
@@ -79,7 +79,7 @@
         self._door = crowd._doors[number]
         crowd._write("try", rid=self.rid, door=number, customer=planned.customer, cls=planned.cls,
                      units=planned.units, deadline_ms=planned.patience_ms, first=planned.rid, number=self.number,
-                     bad=False)
+                     bad=bool(planned.credential) and not planned.credential.endswith(planned.customer))
         here = Place("client", self._door.place.zone)
         self._forth = Pipe(crowd._net, here, self._door.place)
         self._caller = Caller(self._answer, Pipe(crowd._net, self._door.place, here))
@@ -98,6 +98,8 @@
         headers: ev.Headers = [(b"host", b"door"), (b"x-request-id", self.rid.encode()),
                                (b"x-customer", planned.customer.encode()),
                                (b"x-deadline-ms", f"{planned.patience_ms:.3f}".encode())]
+        if planned.credential:
+            headers.append((b"authorization", planned.credential.encode()))
         if planned.body:
             headers.append((b"content-length", str(planned.body).encode()))
         self._ticket = door.asked(self._caller, b"POST" if planned.body else b"GET",
--- a/martenstep/lab/emulate/doors.py
+++ b/martenstep/lab/emulate/doors.py
@@ -17,6 +17,7 @@
 from martenstep.door.events import Ending
 from martenstep.door.http import header
 from martenstep.interface import Scope
+from martenstep.lab.emulate.auth import EmuAuth
 from martenstep.lab.emulate.core import Sim, Timer
 from martenstep.lab.emulate.net import Network, Pipe, Place
 from martenstep.lab.emulate.servers import EmuServer, Job
@@ -96,8 +97,11 @@
 
     def __init__(self, sim: Sim, net: Network, settings: cfg.Door, number: int, seed: int,
                  servers: dict[int, EmuServer], zones: dict[int, str], redis: EmuStore | None, costs: Costs,
-                 subscribe: Callable[[EmuDoor], None]) -> None:
-        """`zones` are the servers', by number; `subscribe` asks the feed to tell of changes."""
+                 subscribe: Callable[[EmuDoor], None], services: dict[int, EmuAuth]) -> None:
+        """`services` authenticate, by the port that the settings name; `zones` are the servers', by number;
+        `subscribe` asks the feed to tell of changes."""
+        self._services = services
+        self._checks: dict[int, int] = {}  # checks that are out: the attempt
         self._sim, self._net, self.settings, self.number = sim, net, settings, number
         self.name, self._servers, self._redis, self._costs = settings.name, servers, redis, costs
         self.place = Place(settings.name, settings.zone)
@@ -130,6 +134,7 @@
         self._does: dict[type, Callable[[Any], None]] = {
             ev.Open: self._open, ev.Abandon: self._abandon, ev.Pass: self._pass, ev.Reply: self._reply,
             ev.Break: self._break, ev.Add: self._add, ev.Listen: self._listen, ev.Note: self._note,
+            ev.Ask: self._ask_service, ev.StopAsking: self._stop_asking,
         }
 
     # Engine ---------------------------------------------------------------------------------------------
@@ -407,6 +412,32 @@
         for lane, pipes in list(self._lanes.items()) if self._core is not None else ():
             self.store_lost(lane, pipes)
 
+    # Authentication -------------------------------------------------------------------------------------
+
+    def _ask_service(self, action: ev.Ask) -> None:
+        self._checks[action.check] = action.attempt
+        service = self._services[action.address[1]]
+        forth, back = Pipe(self._net, self.place, service.place), Pipe(self._net, service.place, self.place)
+        credential = (header(action.headers, b"authorization") or b"").decode("latin-1")
+        rid = (header(action.headers, b"x-request-id") or b"").decode("latin-1")
+
+        def reply(status: int, headers: ev.Headers, body: bytes) -> None:
+            back.send(self._verdict, action, status, headers, body)
+        forth.send(service.ask, credential, rid, reply, lambda: back.send(self._check_failed, action))
+
+    def _verdict(self, action: ev.Ask, status: int, headers: ev.Headers, body: bytes) -> None:
+        if self._checks.get(action.check) == action.attempt:
+            del self._checks[action.check]
+            self.act(ev.Checked(action.check, action.attempt, status, list(headers), body))
+
+    def _check_failed(self, action: ev.Ask) -> None:
+        if self._checks.get(action.check) == action.attempt:
+            del self._checks[action.check]
+            self.act(ev.CheckFailed(action.check, action.attempt))
+
+    def _stop_asking(self, action: ev.StopAsking) -> None:
+        self._checks.pop(action.check, None)
+
     # Feed -----------------------------------------------------------------------------------------------
 
     def _listen(self, _: ev.Listen) -> None:
--- a/martenstep/lab/emulate/judged.py
+++ b/martenstep/lab/emulate/judged.py
@@ -9,7 +9,7 @@
 from martenstep.lab import day_pb2 as pb
 from martenstep.lab.emulate.world import Traces, World
 from martenstep.lab.report import SHOWN, figures
-from martenstep.lab.rules import RULES, Judge, Traffic, gather
+from martenstep.lab.rules import CHECKED, RULES, Judge, Traffic, checked, gather
 
 
 def traffic_of(traces: Traces) -> Traffic:
@@ -21,8 +21,11 @@
     """The result of an emulated day, in the form of a played one's."""
     traffic = traffic_of(traces)
     breaches = Judge(day, traffic).all()
+    guarded = day.HasField("auth_services")
+    if guarded:
+        breaches += checked(traffic, traces.auth, day.judge_slack_ms)
     rules = {}
-    for rule in RULES:
+    for rule in (*RULES, *([CHECKED] if guarded else [])):
         found = [breach for breach in breaches if breach.rule == rule]
         rules[rule] = {"kept": not found, "breaches": len(found),
                        "first": [msgspec.to_builtins(breach) for breach in found[:SHOWN]]}
--- a/martenstep/lab/emulate/world.py
+++ b/martenstep/lab/emulate/world.py
@@ -10,6 +10,7 @@
 from martenstep.config import door_pb2 as cfg
 from martenstep.lab import day_pb2 as pb
 from martenstep.lab.day import door_settings_at, entry_of, length_ms, schedule, server_settings, targets_of, zone_name
+from martenstep.lab.emulate.auth import EmuAuth
 from martenstep.lab.emulate.clients import EmuCrowd, manners_of
 from martenstep.lab.emulate.core import Draws, Sim, Streams
 from martenstep.lab.emulate.doors import Costs, EmuDoor
@@ -25,7 +26,7 @@
 AFTER_MS = 60_000.0  # clients that are not done so long after the last arrival have failed
 FEED_AGAIN_MS = 300.0  # about; a door that lost the feed asks again
 COPY_EVERY_MS = 100.0  # a replica of the store is so far behind
-NOT_HERE = ("AUTH_", "COUNTER_KILLED", "STORE_SLOTS_MOVE")  # troubles of what is not modelled
+NOT_HERE = ("COUNTER_KILLED", "STORE_SLOTS_MOVE")  # troubles of what is not modelled
 
 
 class NotEmulatedError(Exception):
@@ -40,6 +41,7 @@
     servers: list[Line] = field(default_factory=list)
     feed: list[Line] = field(default_factory=list)
     events: list[Line] = field(default_factory=list)
+    auth: list[Line] = field(default_factory=list)
 
 
 class EmuFeed:
@@ -153,8 +155,8 @@
             name = pb.Trouble.Name(event.trouble)
             if name.startswith(NOT_HERE):
                 raise NotEmulatedError(f"trouble {name} is not emulated")
-        if day.HasField("auth_services") or day.own_counter or day.hooks:
-            raise NotEmulatedError("authentication services, the own counter and hooks are not emulated")
+        if day.own_counter or day.hooks:
+            raise NotEmulatedError("the own counter and hooks are not emulated")
         self._seed = day.seed if seed is None else seed
         streams = Streams(self._seed)
         self._streams = streams
@@ -176,6 +178,9 @@
             self._zones[number + 1] = zone_name(number % fleet.zones)
             self._event("server", server=number + 1, zone=self._zones[number + 1], cell=number % fleet.cells)
         self.feed.update([self._entry(number, "up") for number in range(fleet.servers)], now=True)
+        self.auth = {number + 1: EmuAuth(self.sim, number, day.auth_services.max_age_s,
+                                         Draws(streams.of(f"auth {number}")), self._writer(self.traces.auth))
+                     for number in range(day.auth_services.number if day.HasField("auth_services") else 0)}
         self.doors: dict[int, EmuDoor] = {}
         self._lives = [0] * fleet.doors
         self._settings = door_settings_at(day, 0)
@@ -213,7 +218,7 @@
         self._lives[number] += 1
         seed = self._seed * 1_000_003 + number * 101 + self._lives[number]
         words = (self.sim, self.net, settings, number, seed, self.servers, self._zones, self.redis, self._costs,
-                 self.feed.subscribe)
+                 self.feed.subscribe, self.auth)
         door = LimitedDoor(self.day, self._central, *words) if self.day.limiter else EmuDoor(*words)
         self.doors[number] = door
         door.warm(before.follower.copy(self.sim.now) if before is not None else None)
@@ -388,6 +393,49 @@
         for door in self.doors.values():
             door.store_gone()
 
+    # Authentication
+
+    def _auth_set(self, targets: list[int], name: str, on: Any, off: Any) -> Callable[[], None]:
+        def give(value: Any) -> None:
+            for number in targets:
+                setattr(self.auth[number + 1], name, value)
+        give(on)
+        return lambda: give(off)
+
+    def _auth_share(self, event: pb.Event, targets: list[int], name: str) -> Callable[[], None]:
+        def give(share: float) -> None:
+            for number in targets:
+                self.auth[number + 1].shares[name] = share
+        give(event.share)
+        return lambda: give(0.0)
+
+    def _auth_slow(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
+        return self._auth_set(targets, "delay_ms", event.factor, 0.0)
+
+    def _auth_silent(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
+        return self._auth_set(targets, "silent", True, False)
+
+    def _auth_down(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
+        return self._auth_set(targets, "down", True, False)
+
+    def _auth_errors(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
+        return self._auth_share(event, targets, "errors")
+
+    def _auth_resets(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
+        return self._auth_share(event, targets, "resets")
+
+    def _auth_twice(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
+        return self._auth_share(event, targets, "twice")
+
+    def _auth_broken(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
+        return self._auth_share(event, targets, "broken")
+
+    def _auth_contradicts(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
+        return self._auth_share(event, targets, "contradicts")
+
+    def _auth_drips(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
+        return self._auth_share(event, targets, "drips")
+
     # Network
 
     def _net_cut(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
--- a/tests/test_emulate.py
+++ b/tests/test_emulate.py
@@ -192,12 +192,13 @@
     try:
         world = World(day)
     except NotEmulatedError:
-        assert day.HasField("auth_services") or day.own_counter or day.hooks or any(
-            event.trouble == pb.STORE_SLOTS_MOVE for event in day.event)
+        moves = any(event.trouble == pb.STORE_SLOTS_MOVE for event in day.event)
+        assert day.own_counter or day.hooks or moves
         return
     result = judged(day, world.play())
     assert result["kept"], result["rules"]
     assert result["figures"]["requests_served"] > 0.6 * result["figures"]["requests"]
+    assert ("verdicts" in result["rules"]) == day.HasField("auth_services")
     for door in world.doors.values():  # all books are balanced once all is quiet
         assert {name: door.engine.held[name] for name in ("exchanges", "open")} == {"exchanges": 0, "open": 0}
         assert not door._out and not door._callers
@@ -226,6 +227,10 @@
         monkeypatch.setattr(EmuDoor, "told", lambda self, body: told(self, body.replace(b'"draining"', b'"up"')))
     elif what == "ceilings":
         monkeypatch.setattr(EmuDoor, "asked", _ungoverned(EmuDoor.asked))
+    elif what == "verdicts":
+        verdict = EmuDoor._verdict
+        monkeypatch.setattr(EmuDoor, "_verdict", lambda self, action, status, headers, body: verdict(
+            self, action, 200, [(b"x-auth-customer", b"basic-0-0"), (b"x-auth-plan", b"basic")], b""))
     else:
         raise AssertionError(what)
 
@@ -241,9 +246,10 @@
            'customers { plan: "tight" number: 1 share: 3 doors: 2 }')
 
 
-@pytest.mark.parametrize("rule", ["answered", "no effect twice", "drains", "ceilings"])
+@pytest.mark.parametrize("rule", ["answered", "no effect twice", "drains", "ceilings", "verdicts"])
 def test_the_judge_finds_a_rule_that_is_broken_on_purpose(rule: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    day = small(CEILING + "event { at_ms: 500 trouble: SERVER_DRAINED for_ms: 4000 count: 2 }")
+    more = "auth_services { bad_share: 0.1 } auth { cache_ms: 1000 }" if rule == "verdicts" else ""
+    day = small(CEILING + more + "event { at_ms: 500 trouble: SERVER_DRAINED for_ms: 4000 count: 2 }")
     assert judged(day, World(day).play())["kept"]
     flawed(rule, monkeypatch)
     result = judged(day, World(day).play())
