--- a/martenstep/cli/lab.py
+++ b/martenstep/cli/lab.py
@@ -6,16 +6,15 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any
 
 import click
 import msgspec
 
-from martenstep.cli.words import example
+from martenstep.cli.words import BROKEN, USAGE, example, faults_told
 from martenstep.config.text import Faults
 
 FILE = click.Path(path_type=Path)
-USAGE, BROKEN = 2, 3
 
 
 @click.group("lab")
@@ -39,7 +38,7 @@
         try:
             result = judged.emulate(load_day(file), seed)
         except Faults as error:
-            _faults(error)
+            faults_told(error)
         except NotEmulatedError as error:
             click.echo(f"{file}: {error}", err=True)
             sys.exit(USAGE)
@@ -63,12 +62,6 @@
             click.echo(f"\r{done} of {total} runs, {left_s / 60:.1f} min left ", nl=done == total, err=True)
 
 
-def _faults(error: Faults) -> NoReturn:
-    for fault in error.faults:
-        click.echo(fault.told(error.file), err=True)
-    sys.exit(USAGE)
-
-
 @lab.command("run", epilog=example("martenstep lab run plans/doors.txtpb --out out/doors"))
 @click.argument("plan", type=FILE)
 @click.option("--out", type=FILE, required=True, help="Folder of the result; an interrupted run goes on there.")
@@ -86,7 +79,7 @@
                         _Progress(), sockets)
         rows, _ = load_result(file)
     except Faults as error:
-        _faults(error)
+        faults_told(error)
     except (RunError, PlayError, OSError) as error:
         raise click.UsageError(str(error)) from None
     broken = [row for row in rows if row["broken"]]
@@ -168,7 +161,7 @@
     try:
         base = load_day(day)
     except Faults as error:
-        _faults(error)
+        faults_told(error)
 
     def badness(made: day_pb2.Day) -> float:
         found = measure(made)
@@ -199,7 +192,7 @@
         try:
             pairs = matched(folder)
         except Faults as error:
-            _faults(error)
+            faults_told(error)
         except (TraceError, NotEmulatedError) as error:
             raise click.UsageError(str(error)) from None
         apart = apart or not all(pair.within for pair in pairs)
--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -19,21 +19,15 @@
 from martenstep.cli.hooks import hook
 from martenstep.cli.lab import lab
 from martenstep.cli.load import load
+from martenstep.cli.words import BROKEN, USAGE, faults_told
 from martenstep.cli.words import example as _example
 from martenstep.config import door_pb2 as pb
 from martenstep.config.settings import load_door
 from martenstep.config.text import Faults
 
-USAGE = 2
 FILE = click.Path(path_type=Path)
 
 
-def _told(error: Faults) -> NoReturn:
-    for fault in error.faults:
-        click.echo(fault.told(error.file), err=True)
-    sys.exit(USAGE)
-
-
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="martenstep")
 def cli() -> None:
@@ -55,7 +49,7 @@
     try:
         door = load()
     except Faults as error:
-        _told(error)
+        faults_told(error)
     from martenstep.supervise.service import run
     if uvloop:
         try:
@@ -174,9 +168,6 @@
     """Days: a fleet on loopback, its traffic and its troubles, judged from the traffic."""
 
 
-BROKEN = 3
-
-
 def _judge(folder: Path) -> NoReturn:
     from martenstep.lab import report
     try:
@@ -199,7 +190,7 @@
     try:
         loaded = load_day(file)
     except Faults as error:
-        _told(error)
+        faults_told(error)
     bar = _Bar(loaded.name)
     # Told to end, it tears all down as when interrupted; SIGINT is ignored where a shell starts it in the background.
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -274,7 +265,7 @@
     try:
         settings = load_service(file)
     except Faults as error:
-        _told(error)
+        faults_told(error)
     with _log_faults():
         sys.exit(asyncio.run(service.serve(settings)))
 
--- a/martenstep/cli/words.py
+++ b/martenstep/cli/words.py
@@ -1,8 +1,24 @@
-"""What the help of every command has."""
+"""What all commands share: the example of their help, exit codes, and how faults are told."""
 
 from __future__ import annotations
 
+import sys
+from typing import NoReturn
+
+import click
+
+from martenstep.config.text import Faults
+
+USAGE, BROKEN = 2, 3  # exit codes: bad usage or input; a rule was broken
+
 
 def example(text: str) -> str:
     """An example below the help, on a line of its own."""
     return f"\b\nExample:\n  {text}"
+
+
+def faults_told(error: Faults) -> NoReturn:
+    """Tell all that is wrong with a file, and exit."""
+    for fault in error.faults:
+        click.echo(fault.told(error.file), err=True)
+    sys.exit(USAGE)
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -23,7 +23,7 @@
 from martenstep.config.settings import ERROR_STATUS, module_settings
 from martenstep.decide import Gateway
 from martenstep.door import events as ev
-from martenstep.door.http import STATUS, header, only_ours, own_answer, rate_limit, reason_header, waits
+from martenstep.door.http import STATUS, header, only_ours, overlaid, own_answer, rate_limit, reason_header, waits
 from martenstep.door.points import Points, encoded
 from martenstep.door.routes import Guarded, Routed, Routes, Unroutable
 from martenstep.door.traces import Sampler, Trace
@@ -289,9 +289,7 @@
             if exchange.sending is None:
                 exchange.sending = self._points.sending(self._now, exchange.runner, exchange)
             target, given = exchange.sending
-            if given:
-                names = {name for name, _ in given}
-                headers = [pair for pair in headers if pair[0] not in names] + given
+            headers = overlaid(headers, given)
         headers += [*self._signed(exchange.label), (self._attempt_header, b"%d" % number),
                     (self._deadline_header, f"{left:.0f}".encode())]
         if trace is not None:
@@ -632,11 +630,9 @@
         runner = exchange.runner
         if runner is not None and runner.has("answer"):
             assert self._points is not None
-            given = self._points.answer(self._now, runner, exchange, attempt.status,
-                                        len(exchange.servers), self._now - exchange.arrived, headers)
-            if given:
-                names = {name for name, _ in given}
-                headers = [pair for pair in headers if pair[0] not in names] + given
+            headers = overlaid(headers, self._points.answer(
+                self._now, runner, exchange, attempt.status, len(exchange.servers), self._now - exchange.arrived,
+                headers))
         headers += [*self._limits(exchange.routed), *self._signed(exchange.label)]
         self._out.append(ev.Pass(exchange.ticket, attempt.number, attempt.status, headers, whole))
 
--- a/martenstep/door/http.py
+++ b/martenstep/door/http.py
@@ -127,6 +127,14 @@
     ]
 
 
+def overlaid(headers: Headers, given: Headers) -> Headers:
+    """Headers with those that are given, in place of any of the same names."""
+    if not given:
+        return headers
+    names = {name for name, _ in given}
+    return [pair for pair in headers if pair[0] not in names] + given
+
+
 def waits(wait_ms: float) -> Headers:
     """A wait, in whole seconds (RFC 9110) and exactly."""
     return [(b"retry-after", str(math.ceil(wait_ms / SECOND_MS)).encode()),
--- a/martenstep/lab/emulate/doors.py
+++ b/martenstep/lab/emulate/doors.py
@@ -121,6 +121,7 @@
         self._timer: Timer | None = None
         self._timer_at = 0.0
         self.answers: dict[str, int] = {}
+        self._store_timer: Timer | None = None
         self._core: store.Core | None = None
         if redis is not None:
             told = settings.store
@@ -128,7 +129,6 @@
                                                   told.prefix, told.scripts), random.Random(seed))
             self._lanes: dict[store.Lane, tuple[Pipe, Pipe]] = {}
             self._store_place = Place(STORE_NODE, ZONE_OF_STORE)
-            self._store_timer: Timer | None = None
             self._core.topology(sim.now, [STORE_NODE])
             self._store_act()
         self._does: dict[type, Callable[[Any], None]] = {
@@ -469,7 +469,7 @@
         self._callers.clear()
         for connection in [*self._out.values(), *(one for idle in self._idle.values() for one in idle)]:
             connection.forth.send(connection.closed, size=60)
-        for timer in (self._timer, getattr(self, "_store_timer", None)):
+        for timer in (self._timer, self._store_timer):
             if timer is not None:
                 timer.cancel()
 
--- a/martenstep/lab/emulate/judged.py
+++ b/martenstep/lab/emulate/judged.py
@@ -4,11 +4,9 @@
 
 from typing import Any
 
-import msgspec
-
 from martenstep.lab import day_pb2 as pb
 from martenstep.lab.emulate.world import Traces, World
-from martenstep.lab.report import SHOWN, figures
+from martenstep.lab.report import result_of
 from martenstep.lab.rules import CHECKED, RULES, Judge, Traffic, checked, gather
 
 
@@ -24,12 +22,7 @@
     guarded = day.HasField("auth_services")
     if guarded:
         breaches += checked(traffic, traces.auth, day.judge_slack_ms)
-    rules = {}
-    for rule in (*RULES, *([CHECKED] if guarded else [])):
-        found = [breach for breach in breaches if breach.rule == rule]
-        rules[rule] = {"kept": not found, "breaches": len(found),
-                       "first": [msgspec.to_builtins(breach) for breach in found[:SHOWN]]}
-    return {"day": day.name, "kept": not breaches, "figures": figures(day, traffic), "rules": rules}
+    return result_of(day, traffic, breaches, (*RULES, *([CHECKED] if guarded else [])))
 
 
 def emulate(day: pb.Day, seed: int | None = None) -> dict[str, Any]:
--- a/martenstep/lab/emulate/world.py
+++ b/martenstep/lab/emulate/world.py
@@ -259,9 +259,6 @@
     def _servers_of(self, targets: list[int]) -> list[EmuServer]:
         return [self.servers[number + 1] for number in targets]
 
-    def _none(self, event: pb.Event, targets: list[int]) -> None:
-        """Nothing happens."""
-
     # Doors
 
     def _door_killed(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
--- a/martenstep/lab/experiment/run.py
+++ b/martenstep/lab/experiment/run.py
@@ -22,7 +22,7 @@
 from martenstep.lab import day_pb2, plan_pb2
 from martenstep.lab.emulate.judged import traffic_of
 from martenstep.lab.emulate.world import World
-from martenstep.lab.experiment.plan import Run, runs_of
+from martenstep.lab.experiment.plan import runs_of
 from martenstep.lab.measures import summary
 from martenstep.lab.play import play_day
 from martenstep.lab.report import figures, judged_traffic
@@ -164,5 +164,3 @@
     held = table.schema.metadata or {}
     return table.to_pylist(), {name.decode(): value.decode() for name, value in held.items() if name != b"ARROW:schema"}
 
-
-__all__ = ["Run", "RunError", "load_result", "measure", "revision", "run_plan"]
--- a/martenstep/lab/report.py
+++ b/martenstep/lab/report.py
@@ -4,6 +4,7 @@
 
 import json
 from collections import Counter
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
@@ -110,6 +111,16 @@
     return traffic, breaches
 
 
+def result_of(day: pb.Day, traffic: Traffic, breaches: list[Breach], names: Iterable[str]) -> dict[str, Any]:
+    """A day's result: its figures, and for each of these rules how often it was broken."""
+    rules = {}
+    for rule in names:
+        found = [breach for breach in breaches if breach.rule == rule]
+        rules[rule] = {"kept": not found, "breaches": len(found),
+                       "first": [msgspec.to_builtins(breach) for breach in found[:SHOWN]]}
+    return {"day": day.name, "kept": not breaches, "figures": figures(day, traffic), "rules": rules}
+
+
 def judge_folder(folder: Path) -> dict[str, Any]:
     """Judge a folder's traces; raises TraceError where it holds no day."""
     try:
@@ -117,13 +128,8 @@
     except Faults as error:
         raise TraceError(str(error)) from None
     traffic, breaches = judged_traffic(folder, day)
-    guarded = day.HasField("auth_services")
-    rules = {}
-    for rule in (*RULES, RECORDED if day.own_counter else COUNTED, *([CHECKED] if guarded else [])):
-        found = [breach for breach in breaches if breach.rule == rule]
-        rules[rule] = {"kept": not found, "breaches": len(found),
-                       "first": [msgspec.to_builtins(breach) for breach in found[:SHOWN]]}
-    return {"day": day.name, "kept": not breaches, "figures": figures(day, traffic), "rules": rules}
+    guarded = [CHECKED] if day.HasField("auth_services") else []
+    return result_of(day, traffic, breaches, (*RULES, RECORDED if day.own_counter else COUNTED, *guarded))
 
 
 def write_result(folder: Path, result: dict[str, Any]) -> None:
--- a/martenstep/supervise/workers.py
+++ b/martenstep/supervise/workers.py
@@ -8,20 +8,11 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 
 from martenstep.config import door_pb2 as pb
 
-
-@dataclass(frozen=True, slots=True)
-class Split:
-    """Bounds that are the whole door's, each worker's part of them rounded up."""
-
-    message: str
-    name: str
-
-
-SPLIT = (Split("listener", "max_connections"), Split("listener", "max_open"), Split("upstream", "connections"))
+# Bounds that are the whole door's, each worker's part of them rounded up: message and field.
+SPLIT = (("listener", "max_connections"), ("listener", "max_open"), ("upstream", "connections"))
 
 
 def worker_door(door: pb.Door, worker: int) -> pb.Door:
@@ -36,9 +27,9 @@
     for customer in made.customer:
         customer.first_door *= count
         customer.doors *= count
-    for split in SPLIT:
-        part = getattr(made, split.message)
-        setattr(part, split.name, math.ceil(getattr(part, split.name) / count))
+    for message, name in SPLIT:
+        part = getattr(made, message)
+        setattr(part, name, math.ceil(getattr(part, name) / count))
     if made.admin.port:
         made.admin.port += worker
     if made.hooks.history:
