Ceilings: confirmed sends are bounded by a cap that no missed reading can loosen

Cause, from a ledger of the customer over all doors: a door that had read nothing since before the outage still counted as told, since that word only asked whether its periods followed each other. Its first reading pushed the 22 units that the others had sent within 0.3 s from its last reading, 6.4 s before, where they were refilled at once, and it sent 17 more. Behind it stands that confirmed sends had no bound of their own: others' units are pushed from the last reading on, a stranger is let off half a burst, and a closing read that fails was passed over.

Change: what the ceiling has left beside the headroom is a second arrival time, the cap, which is never too early: others' units count as sent now, an old period that is not read counts as used up, an answer after its period's end is not counted on, and after a doubt about the store's contents the bucket counts as empty. The store core proves for how long nothing was lost, by a witness register of its own in front of each name's first reading; the counter's client begins anew with each connection. What the cap does not hold may still go by the door's own headroom. A headroom that has not refilled keeps its ledger. And who read nothing in the last period is a stranger.

--- a/bench/limiters.py
+++ b/bench/limiters.py
@@ -120,13 +120,13 @@
     def _now() -> float:
         return time.monotonic() * 1000.0
 
-    def _counted(self, call: int, verdict: api.Verdict, total: float) -> None:
+    def _counted(self, call: int, verdict: api.Verdict, total: float, kept_ms: float) -> None:
         name, at = self._names.pop(call)
         rtt = self._now() - at
         self.took.append(rtt)
         if verdict is not api.Verdict.OK:
             self.failed.append(time.monotonic())
-        self._act(self.gateway.handle(self._now(), api.Total(name, verdict, rtt, total)))
+        self._act(self.gateway.handle(self._now(), api.Total(name, verdict, rtt, total, kept_ms)))
 
     def _act(self, actions: list[api.Action]) -> None:
         loop = asyncio.get_running_loop()
@@ -135,7 +135,7 @@
                 case api.Count():
                     self.calls += 1
                     self._names[self.calls] = action.name, self._now()
-                    self.store.add(self.calls, action.name, action.units, action.expire_ms)
+                    self.store.add(self.calls, action.name, action.units, action.expire_ms, action.proof)
                 case api.Send():
                     if action.id in self._waiting:
                         self._waiting.pop(action.id).set_result(True)
--- a/bench/store_cost.py
+++ b/bench/store_cost.py
@@ -41,7 +41,7 @@
         self.store = RedisStore(pb.Store(port=port, timeout_ms=2000, gather_ms=gather_ms, scripts=scripts,
                                          connections=connections, waiting=5000), self._told)
 
-    def _told(self, call: int, verdict: Verdict, total: float) -> None:
+    def _told(self, call: int, verdict: Verdict, total: float, kept_ms: float) -> None:
         self._out.pop(call).set_result(verdict)
 
     async def add(self, name: int) -> None:
--- a/martenstep/counter/client.py
+++ b/martenstep/counter/client.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import ssl
 import time
@@ -46,7 +47,7 @@
 AGAIN_LEAST_MS, AGAIN_MOST_MS = 20.0, 1000.0  # between attempts to connect
 READ_BYTES = 262_144
 FINAL = (Status.DONE, Status.REPEATED, Status.KNOWN, Status.TOO_OLD, Status.BAD, Status.REUSED)
-Answer = Callable[[int, Verdict, float], None]
+Answer = Callable[[int, Verdict, float, float], None]  # call, verdict, total, ms for which nothing was lost
 Note = Callable[[str, dict[str, object]], None]
 
 
@@ -155,6 +156,7 @@
         self._task: asyncio.Task[None] | None = None
         self._written: set[int] = set()  # of the unanswered: those that may have come through
         self.sent_again = 0
+        self._welcomed = math.inf  # when the present connection was taken
 
     def start(self) -> None:
         """Connect, and send what an earlier life had promised."""
@@ -182,10 +184,12 @@
         """Commands that wait for their answer."""
         return len(self._out)
 
-    def add(self, call: int, name: int, units: float, expire_ms: float) -> None:
-        """Ask for one add; `answer` is called once for it, within the time-out."""
+    def add(self, call: int, name: int, units: float, expire_ms: float, proof: bool = False) -> None:
+        """Ask for one add; `answer` is called once for it, within the time-out, with a proof if asked or not.
+
+        The proof begins with the connection: another one may lead to a service that was promoted, or lost its tail."""
         if len(self._out) >= self._bound:
-            self._answer(call, Verdict.FULL, 0.0)
+            self._answer(call, Verdict.FULL, 0.0, 0.0)
             return
         sequence = self._next()
         self._calls[sequence] = call
@@ -197,10 +201,10 @@
         if call is None:
             return
         if sequence in self._written:
-            self._answer(call, Verdict.TIMEOUT, 0.0)
+            self._answer(call, Verdict.TIMEOUT, 0.0, 0.0)
         else:
             self._out.pop(sequence, None)
-            self._answer(call, Verdict.CONNECT_FAILED, 0.0)
+            self._answer(call, Verdict.CONNECT_FAILED, 0.0, 0.0)
 
     def record(self, time_ms: float, units: float, beyond: bool, request: str, customer: str, plan: str,
                cls: str) -> bool:
@@ -249,7 +253,7 @@
                 reply = decode(payload)
                 if isinstance(reply, Welcome):
                     self._journal.saw_term(reply.term)
-                    self._ready = True
+                    self._ready, self._welcomed = True, time.monotonic()
                     self.backoff.succeeded()
                     self.sent_again += len(self._written)
                     self._written.update(self._out)
@@ -270,4 +274,5 @@
         call = self._calls.pop(reply.sequence, None)
         if isinstance(reply, Total) and call is not None:
             good = reply.status in (Status.DONE, Status.REPEATED)
-            self._answer(call, Verdict.OK if good else Verdict.FULL, reply.total)
+            self._answer(call, Verdict.OK if good else Verdict.FULL, reply.total,
+                         (time.monotonic() - self._welcomed) * 1000)
--- a/martenstep/counter/shards.py
+++ b/martenstep/counter/shards.py
@@ -40,9 +40,9 @@
         for client in self._clients.values():
             client.start()
 
-    def add(self, call: int, name: int, units: float, expire_ms: float) -> None:
+    def add(self, call: int, name: int, units: float, expire_ms: float, proof: bool = False) -> None:
         """Ask the name's service for one add."""
-        self._of(f"n{name:x}").add(call, name, units, expire_ms)
+        self._of(f"n{name:x}").add(call, name, units, expire_ms, proof)
 
     def record(self, time_ms: float, units: float, beyond: bool, request: str, customer: str, plan: str,
                cls: str) -> bool:
--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -22,6 +22,7 @@
 FLUSH_SHARE = 0.5  # units sent unheard are reported after this part of a period
 HOLD_TIMES = 4.0  # counter time-outs a client must have left to be held: twice the longest hold
 HEAD_PART = 0.9  # of the ceiling's headroom is used: confirmed sends may pass the quota by what is read late
+CLOCKS_MS = 10.0  # gateways' clocks part by no more: so close to a name's end its total is not counted on
 NAME_LIVES = 2.5  # a name lives for this many periods: its own, and the next for the closing read
 CALL_GAIN = 0.3  # the chance of a call moves by about this part with each answer
 CALL_BUSY = 0.25  # of the time-out: an answer later than this tells of a line at the counter
@@ -136,6 +137,11 @@
         # is less than one request, the first so many of the customer's gateways hold one each: else all
         # would pass, or nobody.
         self.head: Meter | None = None
+        # What is left of the ceiling bounds the sends that the counter confirmed.  The cap's TAT is never too
+        # early, whatever could not be read (docs/design.md, "The ceiling").
+        self.cap: Meter | None = None
+        self.turned = self.counted = 0.0  # its TAT before the old period's rest; units of this one, as read
+        self.since = now  # the last reading that it counts, or its period's start
         if plan.ceiling_rate > 0:
             depth = HEAD_PART * max(plan.ceiling_burst + plan.ceiling_slack - plan.burst, 0.0)
             holders = min(spread, int(depth / max(settings.max_units, 1.0)))
@@ -144,6 +150,9 @@
             rate = HEAD_PART * max(plan.ceiling_rate - plan.rate, 0.0)
             self.head = Meter(rate * part, depth * part, started)
             self.head.tat = started + self.head.tolerance
+            rate = plan.ceiling_rate - rate
+            late = rate * settings.counter_timeout_ms / SECOND_MS  # a send follows its add so late at most
+            self.cap = Meter(rate, plan.ceiling_burst + plan.ceiling_slack - depth - late, now)
         length = plan.burst / plan.rate * SECOND_MS if plan.rate > 0 else PERIOD_MOST_MS
         self.period_ms = min(max(length, PERIOD_LEAST_MS), PERIOD_MOST_MS)
         self.phase = name_of(self.customer, -1) / MASK  # customers' periods end at different times
@@ -172,11 +181,47 @@
         unused = max(self.plan.rate - self.mine - self.others, 0.0) / self.spread
         return min(max((self.mine + unused) / self.plan.rate, LEAST_PART / self.spread), 1.0)
 
+    def start(self) -> float:
+        """When the current period began, by the clock of all."""
+        return (self.period - self.phase) * self.period_ms
+
+    def turn(self, period: int, follows: bool) -> None:
+        """A new period: until the old one's end is read, the cap is taken to have been empty at the turn, and so
+        at the old one's begin, where that is not known either."""
+        self.period = period
+        if self.cap:
+            empty = self.start() + self.cap.tolerance
+            self.turned = self.cap.tat if follows else empty - self.period_ms
+            self.cap.tat, self.since = empty, self.start() - CLOCKS_MS
+
+    def read(self, now: float, cap: Meter, total: float, units: float, doubted: float) -> None:
+        """Push the cap by what others have added, as if it were sent now.  After a doubt all that the counter
+        holds may be new, and the cap was empty at the doubt; emptier than now it never is."""
+        known = self.base if doubted <= self.since else 0.0
+        tat = cap.tat if doubted <= self.since else max(cap.tat, doubted + cap.tolerance)
+        cap.tat = min(max(tat, now) + max(total - units - known, 0.0) * cap.per_unit, now + cap.tolerance)
+        self.since, self.counted = now, total - units
+
+    def close(self, cap: Meter, total: float, doubted: float) -> None:
+        """The old period's end is read: what stood at the turn is known."""
+        start, rest = self.start(), max(total - self.last_base, 0.0) * cap.per_unit
+        if doubted <= start - self.period_ms - CLOCKS_MS:
+            turned = min(max(self.turned, start) + rest, start + cap.tolerance)
+            cap.tat = min(cap.tat, max(turned, self.since) + self.counted * cap.per_unit)
+
+    def book(self, now: float, units: float) -> Meter | None:
+        """The meter that holds a confirmed send under the ceiling: the cap, else the own headroom, if any."""
+        if self.cap and now < self.start() + self.period_ms - CLOCKS_MS and self.cap.wait(now, units) <= 0:
+            return self.cap
+        return self.head if self.head and self.head.room(now) >= units else None
+
     def in_use(self, now: float) -> bool:
         """Whether the entry is kept.  One with a report to come is: dropped, its report would take a new
         entry's call, and lose who waits for it."""
         idle = now - max(self.quota.tat, self.used)
         busy = self.asked or self.open or self.waiting or self.pending or self.flushing
+        if self.head and self.head.tat > now:  # a new entry's is full
+            return True
         return bool(busy) or idle <= STALE_TOLERANCES * max(self.quota.tolerance, self.period_ms)
 
 
@@ -270,8 +315,10 @@
         if period != led.period:
             follows = period == led.period + 1
             led.last_base = led.base if follows else 0.0
-            led.told = led.told and follows
-            led.base, led.period, led.unclosed = 0.0, period, True
+            led.turn(period, follows)
+            # Who read nothing in the period before knows no more of it than who came now.
+            led.told = led.told and follows and led.seen >= led.start() - led.period_ms
+            led.base, led.unclosed = 0.0, True
             led.owed = max(led.owed, 0.0)
         led.pending, led.waiting = led.waiting, {}
         add = led.owed + guessed + sum(led.pending.values())
@@ -282,7 +329,7 @@
         name = name_of(led.customer, period)
         led.asked[name] = units
         self._calls[name] = led
-        return Count(name, units, NAME_LIVES * led.period_ms)
+        return Count(name, units, NAME_LIVES * led.period_ms, led.cap is not None)
 
     def total(self, now: float, event: Total) -> tuple[Ledger, bool, list[Action]] | None:
         """Take in an answer; gives the ledger, whether its requests may count on it, and further calls."""
@@ -305,26 +352,31 @@
             return led, False, []
         if not current:
             led.unclosed = False
+            if led.cap:
+                led.close(led.cap, event.total, now - event.kept_ms)
             rest = max(event.total - led.last_base, 0.0)
             if led.stranger:
                 rest = max(rest - led.plan.burst / 2, 0.0)
             quota.tat += rest * quota.per_unit
             return led, True, []
         others = max(event.total - led.base - units - led.maybe, 0.0) + led.guessed
+        if led.cap:
+            led.read(now, led.cap, event.total, units, now - event.kept_ms)
         led.maybe = 0.0
         led.stranger = not led.told
         if led.told:
             quota.take(others, led.seen)
         else:
             led.told = True
-            quota.tat = (led.period - led.phase) * led.period_ms + others * quota.per_unit
+            quota.tat = led.start() + others * quota.per_unit
         if now > led.seen:
             weight = 1 - math.exp((led.seen - now) / (SHARE_PERIODS * led.period_ms))
             led.others += weight * (others / (now - led.seen) * SECOND_MS - led.others)
             led.mine += weight * (units / (now - led.seen) * SECOND_MS - led.mine)
         led.base, led.seen = event.total, now
         most = 1.0 if led.plan.ceiling_rate > 0 or self._chance >= 1 else CLOSE_BELOW
-        short = led.unclosed and quota.room(now) < most * led.plan.burst
+        short = led.unclosed and (quota.room(now) < most * led.plan.burst
+                                  or (led.cap is not None and led.cap.wait(now, units) > 0))
         if short and self.call_weight(now, led, 1.0):
             return led, True, [self._call(led, led.period - 1, 0.0)]
         return led, True, []
@@ -748,10 +800,17 @@
                 continue
             wait = led.quota.wait(now, units)
             self._quota.judged(led, wait <= 0)
-            actions += (self._beyond(now, job, wait, Reason.QUOTA) if wait > 0
-                        else self._send(now, job))
+            book = led.book(now, units) if wait <= 0 else None
+            if wait > 0:
+                actions += self._beyond(now, job, wait, Reason.QUOTA)
+            elif led.cap and not book:
+                actions += self._refuse(now, job, max(led.cap.wait(now, units), 0.0), Reason.CEILING)
+            else:
+                actions += self._send(now, job)
             if wait <= 0 and job.attempts:
                 led.quota.take(units, now)
+                if book:
+                    book.take(units, now)
             else:
                 led.owed -= units
         if led.waiting or (led.owed < 0 and good and self._quota.call_weight(now, led, -led.owed)):
--- a/martenstep/door/daemon.py
+++ b/martenstep/door/daemon.py
@@ -181,8 +181,8 @@
         self.notes.note("stopped", {"clean": clean, **self.engine.held})
         return clean
 
-    def _counted(self, call: int, verdict: Verdict, total: float) -> None:
-        self.driver.act(Counted(call, verdict, total))
+    def _counted(self, call: int, verdict: Verdict, total: float, kept_ms: float) -> None:
+        self.driver.act(Counted(call, verdict, total, kept_ms))
 
     def _counter_clients(self) -> dict[str, CounterClient]:
         """One client a service, each with a journal of its own."""
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -333,7 +333,7 @@
         self.flights: dict[int, Flight] = {}
         self.clients: set[Client] = set()
         self.stopping = False
-        self.add: Callable[[int, int, float, float], None] | None = None  # the store, where there is one
+        self.add: Callable[[int, int, float, float, bool], None] | None = None  # the store, where there is one
         self.record: Callable[[ev.Tried], None] | None = None  # the counter service, where there is one
         self.listen: Callable[[], None] | None = None  # the feed
         self.trace: Callable[[Trace], None] | None = None  # where traces go
@@ -487,7 +487,7 @@
 
     def _add(self, action: ev.Add) -> None:
         assert self.add is not None, "the module counts only where the settings name a store"
-        self.add(action.call, action.name, action.units, action.expire_ms)
+        self.add(action.call, action.name, action.units, action.expire_ms, action.proof)
 
     def _tried(self, action: ev.Tried) -> None:
         if self.record is not None:
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -233,12 +233,12 @@
                 late = exchange.timed_out
                 self._answer(exchange, GATEWAY_TIMEOUT if late else GATEWAY_ERROR,
                              "timed out" if late else "failed", None)
-            case api.Count(name=name, units=units, expire_ms=expire_ms):
+            case api.Count(name=name, units=units, expire_ms=expire_ms, proof=proof):
                 self._serial += 1
                 self._calls[self._serial] = name, self._now
                 self._timer(self._now + self.settings.counter_timeout_ms + COUNT_GRACE_MS, self._uncounted,
                             self._serial)
-                self._out.append(ev.Add(self._serial, name, units, expire_ms))
+                self._out.append(ev.Add(self._serial, name, units, expire_ms, proof))
             case api.Wake(at_ms=at, token=token):
                 self._timer(at, self._due, token)
             case api.Cancel(id=rid, attempt=number):
@@ -667,7 +667,7 @@
     def _counted(self, event: ev.Counted) -> None:
         call = self._calls.pop(event.call, None)
         if call is not None:  # else its time-out was told already
-            self._tell(api.Total(call[0], event.verdict, self._now - call[1], event.total))
+            self._tell(api.Total(call[0], event.verdict, self._now - call[1], event.total, event.kept_ms))
 
     def _listed(self, event: ev.Listed) -> None:
         self._addresses.update(event.addresses)
--- a/martenstep/door/events.py
+++ b/martenstep/door/events.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -106,6 +107,7 @@
     call: int
     verdict: Verdict
     total: float = 0.0
+    kept_ms: float = math.inf  # for so long it is known to have lost nothing
 
 
 @dataclass(slots=True)
@@ -195,6 +197,7 @@
     name: int
     units: float
     expire_ms: float
+    proof: bool = False  # how long nothing was lost is to be proved
 
 
 @dataclass(slots=True)
--- a/martenstep/interface.py
+++ b/martenstep/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -235,6 +236,7 @@
     verdict: Verdict
     rtt_ms: float
     total: float = 0.0
+    kept_ms: float = math.inf  # for so long the counter has lost nothing, as far as the host can prove
 
 
 @dataclass(frozen=True, slots=True)
@@ -300,6 +302,7 @@
     name: int
     units: float
     expire_ms: float
+    proof: bool = False  # its total bounds a ceiling: the host is to prove how long nothing was lost
 
 
 @dataclass(frozen=True, slots=True)
--- a/martenstep/lab/emulate/doors.py
+++ b/martenstep/lab/emulate/doors.py
@@ -334,7 +334,7 @@
 
     def _add(self, action: ev.Add) -> None:
         assert self._core is not None
-        self._core.add(self._sim.now, action.call, action.name, action.units, action.expire_ms)
+        self._core.add(self._sim.now, action.call, action.name, action.units, action.expire_ms, action.proof)
         self._store_act()
 
     def _store_act(self) -> None:
@@ -342,8 +342,8 @@
         assert core is not None
         for action in core.take():
             match action:
-                case store.Told(call=call, verdict=verdict, total=total):
-                    self.act(ev.Counted(call, verdict, total))
+                case store.Told(call=call, verdict=verdict, total=total, kept_ms=kept):
+                    self.act(ev.Counted(call, verdict, total, kept))
                 case store.Write(lane=lane):
                     self._lanes[lane][0].send(self._at_store, action, size=120 * len(action.ops))
                 case store.Open(lane=lane):
--- a/martenstep/store/core.py
+++ b/martenstep/store/core.py
@@ -17,6 +17,12 @@
 A statement tells what the register held before.  Less than the door knows to have been there proves that the store
 lost contents or went back to older ones: each name of that node is then stated once more, and what the others had used
 is taken to be no less than was last told, until their own statements have come.
+
+A total that bounds a ceiling comes with a proof: for how long the node is known to have lost nothing.  The proof is a
+register of this door's own, the witness: it is stated in front of a name that is asked for the first time, and found
+as it was left.  What it cannot show, that a replica took over which had it and not the newest of the others, goes with
+a broken connection: with each that is opened the proof begins anew.  Names that are stated again need no witness, since
+their own register is one.  A store that evicts names keeps no proof: it is to run with `noeviction`.
 """
 
 from __future__ import annotations
@@ -42,6 +48,8 @@
 LEARN_MS = 50.0  # the topology is asked for no more often
 TRY_AGAIN_MS = 5.0  # a slot that is under way
 REST_MS = 100.0  # a store that turns down what is stated anew is left alone with that for so long
+WITNESS_LIFE_MS = 3_600_000.0  # of a witness; past half of it there is a new one, and the proof begins anew
+WITNESS_DRAWS = 20_000  # names drawn until one stands at the node that it is to prove
 MOST_NAMES = 200_000  # registers at once: past that a new name is turned away, since none may be forgotten
 SWEEP_MS = 1000.0
 DOWN = ("LOADING", "BUSY", "MASTERDOWN", "CLUSTERDOWN", "READONLY", "NOAUTH")  # the node fails, not the call
@@ -70,6 +78,7 @@
     uncertain: bool = False  # it was written once, and no answer came
     asking: bool = False
     turns: int = 0
+    proof: bool = False  # its total is to come with a proof
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +112,7 @@
     call: int
     verdict: Verdict
     total: float
+    kept_ms: float = 0.0  # for so long the node has lost nothing, as far as is proved
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +162,7 @@
     others: float = 0.0  # of the last total, what is not this door's
     floor: float = 0.0  # the others had used no less, whatever a store that lost contents says
     generation: int = 0  # of the node's contents, when it last answered for this name
+    proved: int = 0  # the chain of proofs that its last answer was part of
 
 
 class _Lane:
@@ -169,6 +180,7 @@
         self.rest_until = -math.inf  # nothing is stated anew
         self.newest: int | None = None  # the name that was answered last
         self.load = True
+        self.witnessed = False  # the witness of the write that is out was found as it was left
 
     @property
     def busy(self) -> bool:
@@ -186,6 +198,10 @@
         self.generation = 0  # of its contents, no other node's
         self.noted = 0  # the generation whose loss was told of
         self.heard = -math.inf
+        self.witness = -1  # the name of this door's own that proves what is kept
+        self.chain = 1  # of proofs: another with each connection that is opened, and with each loss
+        self.proved = 0  # the chain that the witness was last found in
+        self.kept_since = math.inf
 
     @property
     def broken(self) -> bool:
@@ -238,6 +254,7 @@
                 at = self._node_of(name)
                 if at is not None and register.version and self._of(before, name) != at.name:
                     register.generation = 0  # what is there now was not seen yet
+                    at.chain += 1
                     self._lane_of(name, at).restore[name] = None
         for node in gone:
             for lane in node.lanes:
@@ -251,14 +268,14 @@
             self._queue(now, self._homeless.popleft())
         self._turn(now)
 
-    def add(self, now: float, call: int, name: int, units: float, expire_ms: float) -> None:
+    def add(self, now: float, call: int, name: int, units: float, expire_ms: float, proof: bool = False) -> None:
         """One call: told once, within the time-out."""
         if name not in self._registers:
             if len(self._registers) >= MOST_NAMES:
                 self._tell(call, Verdict.FULL)
                 return
             self._registers[name] = Register(now + expire_ms)
-        self._queue(now, Op(name, units, call, now + self._options.timeout_ms))
+        self._queue(now, Op(name, units, call, now + self._options.timeout_ms, proof=proof))
         self._turn(now)
 
     def opened(self, now: float, at: Lane) -> None:
@@ -269,6 +286,7 @@
             return
         lane.opening, lane.ready, lane.load = False, True, True
         lane.rest_until = -math.inf
+        lane.node.chain += 1
         self._witness(now, lane)
         self._turn(now)
 
@@ -449,6 +467,19 @@
             name = lane.newest = None
         return next(iter(lane.restore), None) if name is None else name
 
+    def _proof(self, now: float, node: _Node) -> Op | None:
+        """A statement of the node's witness; None where no name for one stands there."""
+        held = self._registers.get(node.witness)
+        if held is None or held.until - now < WITNESS_LIFE_MS / 2 or self._node_of(node.witness) is not node:
+            drawn = (self._rng.getrandbits(62) for _ in range(WITNESS_DRAWS))
+            name = next((name for name in drawn if self._node_of(name) is node), None)
+            if name is None:
+                return None
+            self._registers[name] = Register(now + WITNESS_LIFE_MS)
+            node.witness, node.chain = name, node.chain + 1
+        self.counts["witnesses"] += 1
+        return Op(node.witness, 0.0, None, math.inf)
+
     def _witness(self, now: float, lane: _Lane) -> None:
         """Ask whether what was there last is there still."""
         name = self._newest(now, lane)
@@ -479,6 +510,10 @@
                 continue
             batch.append(op)
         lane.first = now
+        lane.witnessed = False
+        if not plain and any(op.proof and self._unproved(lane.node, op.name) for op in batch):
+            witness = self._proof(now, lane.node)
+            batch[:0] = [witness] if witness is not None else []
         stated = {op.name for op in batch}
         for _ in range(min(len(lane.restore), RESTORE_BATCH) if lane.rest_until <= now else 0):
             name, _ = lane.restore.popitem(last=False)
@@ -505,6 +540,10 @@
         self._actions.append(Write(lane.lane, tuple(batch), lane.load and not plain, plain))
         lane.load = False
 
+    def _unproved(self, node: _Node, name: int) -> bool:
+        register = self._registers.get(name)
+        return register is None or register.proved != node.chain
+
     # What comes back ------------------------------------------------------------------------------------
 
     def _held(self, now: float, lane: _Lane, op: Op, held: Held) -> None:
@@ -518,7 +557,14 @@
             self._tell(op.call, Verdict.OK, held.total)
             return
         if held.found < op.known:
+            node.chain += 1
             self._lost_contents(node, op, register.generation == node.generation)
+        if op.name == node.witness:
+            lane.witnessed = True
+            if node.proved != node.chain:
+                node.proved, node.kept_since = node.chain, now
+        if lane.witnessed and node.proved == node.chain:
+            register.proved = node.chain
         if register.generation != node.generation:
             register.floor = max(register.floor, register.others)
             register.generation = node.generation
@@ -532,7 +578,8 @@
         lane.newest = op.name
         if register.version > register.acked and not self._coming(lane, op.name):
             lane.restore[op.name] = None  # a statement of it went missing
-        self._tell(op.call, Verdict.OK, told)
+        kept = now - node.kept_since if register.proved == node.chain == node.proved else 0.0
+        self._tell(op.call, Verdict.OK, told, max(kept, 0.0))
 
     @staticmethod
     def _coming(lane: _Lane, name: int) -> bool:
@@ -573,7 +620,8 @@
             self._elsewhere(now, op, fault)
             return
         elif code == "MOVED" and (slot := self._slot_told(fault)) is not None:
-            self._slots[slot] = self._node(fault.text.split()[2]).name
+            there = self._node(fault.text.split()[2])
+            self._slots[slot], there.chain = there.name, there.chain + 1
             self._learn(now)
         elif code == "TRYAGAIN":
             lane.not_before = now + TRY_AGAIN_MS
@@ -611,7 +659,9 @@
         if op.call is None:
             op.until = now + self._options.timeout_ms
         self.counts["asked elsewhere"] += 1
-        self._insert(self._lane_of(op.name, self._node(fault.text.split()[2])), op)
+        there = self._node(fault.text.split()[2])
+        there.chain += 1
+        self._insert(self._lane_of(op.name, there), op)
 
     def _failed(self, now: float, lane: _Lane, error: str) -> None:
         node = lane.node
@@ -674,10 +724,10 @@
         if node is not None and name in self._registers and self._registers[name].version:
             self._lane_of(name, node).restore[name] = None
 
-    def _tell(self, call: int | None, verdict: Verdict, total: float = 0.0) -> None:
+    def _tell(self, call: int | None, verdict: Verdict, total: float = 0.0, kept_ms: float = 0.0) -> None:
         if call is not None:
             self.counts[verdict.name] += 1
-            self._actions.append(Told(call, verdict, total))
+            self._actions.append(Told(call, verdict, total, kept_ms))
 
     def _learn(self, now: float) -> None:
         if self._options.topology and now - self._learned >= LEARN_MS:
--- a/martenstep/store/redis_store.py
+++ b/martenstep/store/redis_store.py
@@ -26,7 +26,7 @@
 LEARN_AGAIN_MS = 50.0  # after nobody told who the nodes are
 FLUSH_MS = 500.0  # at a stop: what is not settled by then is left
 
-Answer = Callable[[int, Verdict, float], None]
+Answer = Callable[[int, Verdict, float, float], None]  # call, verdict, total, ms for which nothing was lost
 Tell = Callable[[str, dict[str, object]], None]
 
 
@@ -80,9 +80,9 @@
         if self._store.topology == pb.Store.SENTINEL:
             self._hearing = asyncio.create_task(self._nodes.heard(self._learn))
 
-    def add(self, number: int, name: int, units: float, expire_ms: float) -> None:
+    def add(self, number: int, name: int, units: float, expire_ms: float, proof: bool = False) -> None:
         """Ask for one add; `answer` is called once for it, within the time-out."""
-        self.core.add(now_ms(), number, name, units, expire_ms)
+        self.core.add(now_ms(), number, name, units, expire_ms, proof)
         self._act()
 
     async def stop(self) -> None:
@@ -106,7 +106,7 @@
         for action in self.core.take():
             match action:
                 case Told():
-                    self._answer(action.call, action.verdict, action.total)
+                    self._answer(action.call, action.verdict, action.total, action.kept_ms)
                 case Write():
                     self._links[action.lane].writes.put_nowait(action)
                 case Open():
--- a/tests/test_counter_service.py
+++ b/tests/test_counter_service.py
@@ -230,7 +230,7 @@
         self.client.start()
         self._call = 0
 
-    def _answer(self, call: int, verdict: Verdict, total: float) -> None:
+    def _answer(self, call: int, verdict: Verdict, total: float, kept_ms: float) -> None:
         assert call not in self.answers
         self.answers[call] = verdict, total
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -47,7 +47,7 @@
         self.notes: list[str] = []
         self.calls: dict[int, tuple[int, float]] = {}
 
-    def _answer(self, number: int, verdict: Verdict, total: float) -> None:
+    def _answer(self, number: int, verdict: Verdict, total: float, kept_ms: float) -> None:
         assert number not in self.answers, "answered twice"
         self.answers[number] = verdict, total
         self.order.append(number)
