--- a/martenstep/cli/lab.py
+++ b/martenstep/cli/lab.py
@@ -178,6 +178,29 @@
     sys.exit(BROKEN if rule else 0)
 
 
+@lab.command("sweep", epilog=example("martenstep lab sweep plans/sweep.txtpb --out out/sweep"))
+@click.argument("plan", type=FILE)
+@click.option("--out", type=FILE, required=True, help="Folder of the result; an interrupted sweep goes on there.")
+@click.option("--days", type=click.IntRange(1, 1_000_000), default=None, help="So many days; the plan's otherwise.")
+@click.option("--workers", type=click.IntRange(1, 256), default=None, help="Processes; all cores but one otherwise.")
+def sweep(plan: Path, out: Path, days: int | None, workers: int | None) -> None:
+    """Draw days of many shapes as PLAN says, judge each by every rule, shrink and save those that break one.
+
+    Exit 3 where a rule broke."""
+    from martenstep.lab.experiment import sweep as sweeping
+    from martenstep.lab.experiment.run import RunError
+    try:
+        made = sweeping.load_sweep(plan)
+        made.days = days or made.days
+        rows = sweeping.run_sweep(made, out, workers or max((os.cpu_count() or 2) - 1, 1), _Progress())
+    except Faults as error:
+        faults_told(error)
+    except (RunError, OSError) as error:
+        raise click.UsageError(str(error)) from None
+    click.echo(sweeping.summary(made, rows))
+    sys.exit(BROKEN if any(row["broken"] for row in rows) else 0)
+
+
 @lab.command("match", epilog=example("martenstep lab match out/first"))
 @click.argument("folders", type=FILE, nargs=-1, required=True)
 def match(folders: tuple[Path, ...]) -> None:
--- a/martenstep/lab/experiment/search.py
+++ b/martenstep/lab/experiment/search.py
@@ -18,7 +18,7 @@
          pb.SERVER_RESETS, pb.SERVER_DRAINED, pb.SERVER_KILLED, pb.SERVER_RESTARTED, pb.ANSWERS_LOST, pb.STORE_PAUSED,
          pb.STORE_EMPTIED, pb.STORE_SLOW, pb.STORE_DOWN, pb.STORE_FULL, pb.FEED_STALE, pb.FEED_PARTIAL, pb.FEED_DOWN)
 OF_DOORS = (pb.DOOR_KILLED, pb.DOOR_ROLLED, pb.DOOR_CUT_FROM_FEED)
-AT_ONCE = (pb.STORE_EMPTIED,)  # without a length
+AT_ONCE = (pb.STORE_EMPTIED, pb.STORE_FAILOVER)  # without a length
 MOST_TROUBLES = 6
 KEEPS = 0.9  # of how bad it was, a smaller day must still be
 GENERATION = 8
@@ -35,7 +35,8 @@
     tried: int
 
 
-def _event(rng: random.Random, day: pb.Day, kinds: tuple[int, ...]) -> pb.Event:
+def event_of(rng: random.Random, day: pb.Day, kinds: tuple[int, ...]) -> pb.Event:
+    """A trouble of one of these kinds, at a drawn moment."""
     length = length_ms(day)
     event = pb.Event(at_ms=round(rng.uniform(0.05, 0.8) * length, -2), trouble=rng.choice(kinds))  # type: ignore[arg-type]
     if event.trouble not in AT_ONCE:
@@ -57,7 +58,7 @@
     day.CopyFrom(base)
     del day.event[:]
     for _ in range(rng.randint(1, MOST_TROUBLES)):
-        day.event.append(_event(rng, base, kinds))
+        day.event.append(event_of(rng, base, kinds))
     return day
 
 
@@ -68,9 +69,9 @@
     if len(made.event) > 1 and rng.random() < 0.3:
         del made.event[rng.randrange(len(made.event))]
     elif len(made.event) < MOST_TROUBLES and rng.random() < 0.5:
-        made.event.append(_event(rng, day, kinds))
+        made.event.append(event_of(rng, day, kinds))
     else:
-        made.event[rng.randrange(len(made.event))].CopyFrom(_event(rng, day, kinds))
+        made.event[rng.randrange(len(made.event))].CopyFrom(event_of(rng, day, kinds))
     return made
 
 
--- a/martenstep/lab/rules.py
+++ b/martenstep/lab/rules.py
@@ -383,7 +383,10 @@
                 held = min(held + (at - last) * plan.ceiling_rate / 1000, plan.ceiling_burst)
                 # Sends are booked when they leave a door, here when they arrive: the slack of the clocks may fill.
                 held, last = held - cost, at
-                if held < -plan.ceiling_slack - plan.ceiling_rate * self._slack / 1000:
-                    yield Breach(CEILINGS, f"{customer} is {-held:.2f} units below its ceiling's store "
-                                 f"(slack {plan.ceiling_slack:g})", rid, times=(at,))
+                clocks = plan.ceiling_rate * self._slack / 1000
+                beyond = -held - plan.ceiling_slack - clocks
+                if beyond > 0:
+                    yield Breach(CEILINGS, f"{customer} is {-held:.2f} units below its ceiling's store: slack "
+                                 f"{plan.ceiling_slack:g}, {clocks:.2f} for the clocks, {beyond:.2f} beyond both",
+                                 rid, times=(at,))
                     break
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -36,8 +36,9 @@
         self.session = Session(0)
         self.error = ""
         self.refuses = False
-        self.cores = [Core(Options(timeout_ms=TIMEOUT_MS, lanes=lanes, scripts=scripts), random.Random(seed + n))
-                      for n in range(doors)]
+        self.options = Options(timeout_ms=TIMEOUT_MS, lanes=lanes, scripts=scripts)
+        self.cores = [Core(self.options, random.Random(seed + n)) for n in range(doors)]
+        self.lives = [1] * doors
         self.wires: list[Wire] = []
         self.opening: list[tuple[int, Lane]] = []
         self.told: dict[int, tuple[Verdict, float]] = {}
@@ -51,14 +52,24 @@
 
     # What the test does ------------------------------------------------------------------------------------
 
-    def add(self, door: int, name: int, units: float, expire_ms: float = 1e9) -> int:
+    def add(self, door: int, name: int, units: float, expire_ms: float = 1e9, proof: bool = False) -> int:
         """One call; gives its number."""
         call = len(self.calls) + 1
         self.calls[call] = door, name, units, self.now
-        self.cores[door].add(self.now, call, name, units, expire_ms)
+        self.cores[door].add(self.now, call, name, units, expire_ms, proof)
         self._act(door)
         return call
 
+    def restart(self, door: int) -> None:
+        """A door is killed, and its next life begins; what it wrote may still arrive."""
+        for wire in self.wires:
+            wire.open = wire.open and wire.door != door
+        self.opening = [one for one in self.opening if one[0] != door]
+        self.lives[door] += 1
+        self.cores[door] = Core(self.options, random.Random(self.lives[door] * 1009 + door))
+        self.cores[door].topology(self.now, [NODE])
+        self._act(door)
+
     def pass_time(self, ms: float) -> None:
         """Time goes on, in the steps that the doors ask for."""
         until, spins = self.now + ms, 0
@@ -99,7 +110,9 @@
         if write.load:
             self.keys.run(self.session, self.now, [b"SCRIPT", b"LOAD", script.LUA.encode()])
         for op in write.ops:
-            wire.back.append(self._run(wire.door, op, write.plain))
+            reply = self._run(wire.door, op, write.plain)
+            if wire.open:
+                wire.back.append(reply)
 
     def answer(self, wire: Wire, count: int = 10_000) -> None:
         """So many replies of a connection reach its door."""
@@ -176,7 +189,7 @@
             self.keys.run(self.session, self.now, [b"PEXPIRE", key, b"%d" % op.life_ms, b"NX"])
             return Fault(str(total)) if isinstance(total, ErrorReply) else Held(float(total), -1)  # type: ignore[arg-type]
         reply = self.keys.run(self.session, self.now, [
-            b"EVALSHA", script.DIGEST.encode(), b"1", key, b"door-%d:1" % door, b"%d" % op.version,
+            b"EVALSHA", script.DIGEST.encode(), b"1", key, b"door-%d:%d" % (door, self.lives[door]), b"%d" % op.version,
             b"%.17g" % op.total, b"%d" % op.life_ms])
         if isinstance(reply, ErrorReply):
             return Fault(str(reply))
--- a/tests/test_store_ceiling.py
+++ b/tests/test_store_ceiling.py
@@ -7,7 +7,7 @@
 import itertools
 import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import pytest
@@ -29,35 +29,46 @@
 class Doors(World):
     """The store's world with a gateway behind each door; every message takes one step, unless the store is paused."""
 
-    def __init__(self, seed: int) -> None:
-        super().__init__(DOORS, seed=seed)
+    def __init__(self, seed: int, doors: int = DOORS, plan: api.Plan = CAPPED, scripts: bool = True) -> None:
+        super().__init__(doors, scripts=scripts, seed=seed)
         self.totals = False
-        self.gates = [Gateway(api.Settings(**{
-            **{name: getattr(SETTINGS, name) for name in SETTINGS.__dataclass_fields__},
-            "me": number, "gateways": DOORS, "max_units": 1.0}), seed + number) for number in range(DOORS)]
+        self.plan = plan
+        self.gates = [self._gate(number, seed + number) for number in range(doors)]
         self.names: dict[int, float] = {}
         self.turn = itertools.count()
         self.later: list[tuple[float, int, int, Any]] = []
         self.sent: dict[int, list[float]] = {customer: [] for customer in range(CUSTOMERS)}
         self.asked: dict[str, int] = {}
         self.ended: set[str] = set()
-        for number, gate in enumerate(self.gates):
-            self.decided(number, gate.handle(self.now, api.Members(
-                api.Scope.WARM_COPY, tuple(server(n) for n in range(1, 5)))))
+        self.gone: set[int] = set()  # calls of lives that are over
+
+    def _gate(self, number: int, seed: int) -> Gateway:
+        """A gateway that knows its servers, and asks for nothing yet."""
+        made = Gateway(replace(SETTINGS, me=number, gateways=len(self.cores), max_units=1.0, plans=(self.plan,)), seed)
+        made.handle(self.now, api.Members(api.Scope.WARM_COPY, tuple(server(n) for n in range(1, 13))))
+        return made
+
+    def restart(self, door: int) -> None:
+        """The decisions begin anew as well."""
+        self.gates[door] = self._gate(door, self.lives[door] * 7919 + door)
+        self.later = [one for one in self.later if one[2] != door]
+        heapq.heapify(self.later)
+        self.gone |= {call for call, (number, *_) in self.calls.items() if number == door and call not in self.told}
+        super().restart(door)
 
     def ask(self, door: int, customer: int) -> None:
         """One try at a door."""
         rid = f"r{len(self.asked)}"
         self.asked[rid] = customer
         self.decided(door, self.gates[door].handle(self.now, api.Request(
-            rid, "read", "capped", customer, 4000.0, 1.0, DOORS)))
+            rid, "read", self.plan.name, customer, 4000.0, 1.0, len(self.cores))))
 
     def decided(self, door: int, actions: list[api.Action]) -> None:
         """Carry out what a gateway decided."""
         for action in actions:
             match action:
                 case api.Count():
-                    self.add(door, action.name, action.units, action.expire_ms)
+                    self.add(door, action.name, action.units, action.expire_ms, action.proof)
                 case api.Send():
                     if action.id not in self.ended:
                         self.ended.add(action.id)
@@ -86,7 +97,7 @@
         if isinstance(action, Told):
             _, name, _, at = self.calls[action.call]
             self.decided(door, self.gates[door].handle(self.now, api.Total(
-                name, action.verdict, self.now - at, action.total)))
+                name, action.verdict, self.now - at, action.total, action.kept_ms)))
 
 
 @dataclass(frozen=True)
@@ -140,11 +151,11 @@
     return world
 
 
-def most_beyond(times: list[float]) -> float:
+def most_beyond(times: list[float], plan: api.Plan = CAPPED) -> float:
     """How far one customer's ceiling went below nothing, in units."""
-    held, last, worst = CAPPED.ceiling_burst, -math.inf, 0.0
+    held, last, worst = plan.ceiling_burst, -math.inf, 0.0
     for at in times:
-        held = min(held + (at - last) * CAPPED.ceiling_rate / 1000, CAPPED.ceiling_burst) - 1.0
+        held = min(held + (at - last) * plan.ceiling_rate / 1000, plan.ceiling_burst) - 1.0
         last, worst = at, max(worst, -held)
     return worst
 
