Upstream connections reset at their close from the begin, a killed door's as well

A killed process cannot reset what it gave up; its kernel closes politely and goes on delivering.

Change: SO_LINGER of no time is set as the connection stands, not when it is given up, so that the kernel's own close is a reset too.

--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -154,15 +154,7 @@
         return not self.reader.touched and not self.writer.transport.is_closing()
 
     def abort(self) -> None:
-        """Close at once with a reset: what is still buffered, here or in the kernel, reaches nobody any more.
-
-        A plain close would go on delivering a request that was given up, for minutes where the network lost it: after
-        its final answer, and beside its next attempt.
-        """
-        sock = self.writer.get_extra_info("socket")
-        if sock is not None and not self.writer.transport.is_closing():
-            with suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD)
+        """Close at once, with a reset (Pool.dial): what is still buffered, here or in the kernel, reaches nobody."""
         self.writer.transport.abort()
 
 
@@ -211,7 +203,12 @@
 
     async def dial(self, address: tuple[str, int]) -> Upstream:
         """Make a connection in a place that is reserved; raises OSError.  Where none is made, the place is given
-        back; where TLS refuses the other side, that is told."""
+        back; where TLS refuses the other side, that is told.
+
+        Its close is a reset from the begin, the kernel's as well when the door is killed.  A plain close would go on
+        delivering a request that was given up, for minutes where the network lost it: after its final answer, and
+        beside its next attempt.
+        """
         loop = asyncio.get_running_loop()
         reader = WatchedReader()
         try:
@@ -223,6 +220,9 @@
             if isinstance(error, ssl.SSLError):
                 self._refused(f"{address[0]}:{address[1]}", getattr(error, "verify_message", "") or str(error.reason))
             raise
+        sock = transport.get_extra_info("socket")
+        with suppress(OSError):  # it has ended already
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD)
         protocol.secure = self._tls is not None
         self.opened += 1
         return Upstream(address, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
--- a/martenstep/lab/emulate/doors.py
+++ b/martenstep/lab/emulate/doors.py
@@ -468,6 +468,7 @@
             caller.pipe.send(caller.reply, 0, [], False)
         self._callers.clear()
         for connection in [*self._out.values(), *(one for idle in self._idle.values() for one in idle)]:
+            connection.forth.reset()  # as the kernel does: Pool.dial
             connection.forth.send(connection.closed, size=60)
         for timer in (self._timer, self._store_timer):
             if timer is not None:
--- a/martenstep/lab/emulate/servers.py
+++ b/martenstep/lab/emulate/servers.py
@@ -89,6 +89,7 @@
         if self._fall.offer(sim.now, ms / config.speed, sim.now - self._started):
             self.fallen = True
             self._write("fell", server=config.id)
+            self._write("closed", **told)
             self.drop()
             return None
         job = Job(told, cls, key, caller, work, ms)
--- a/martenstep/standins/photo.py
+++ b/martenstep/standins/photo.py
@@ -181,11 +181,13 @@
         customer = headers.get(b"x-auth-customer", headers.get(b"x-customer", b"")).decode("latin-1")
         self._trace.write("arrive", **told, cls=cls, key=key, customer=customer, body=body)
         if self._fallen:
+            self._trace.write("closed", **told)
             writer.transport.abort()
             return False
         if self._fall.offer(now, ms / self.config.speed, now - self._started):
             self._fallen = True
             self._trace.write("fell", server=self.config.id)
+            self._trace.write("closed", **told)
             self._drop()
             return False
         gone = asyncio.ensure_future(reader.read(1))
--- a/tests/test_emulate.py
+++ b/tests/test_emulate.py
@@ -295,6 +295,23 @@
         assert any(line["status"] == 200 for line in late) and not world.net.cuts
 
 
+def test_what_a_killed_door_had_sent_into_a_cut_reaches_nobody() -> None:
+    """A sweep found it: what the kernel held was delivered after the cut, long after the clients' connections broke."""
+    day = small("event { at_ms: 1000 for_ms: 2500 trouble: NET_CUT source: 'door-*' sink: 'server-*' } "
+                "event { at_ms: 1500 for_ms: 500 trouble: DOOR_KILLED count: 2 }")
+    assert judged(day, World(day).play())["kept"]
+
+
+def test_the_request_that_pushes_a_server_over_ends_there() -> None:
+    """Else its next attempt elsewhere would look like a second one at once."""
+    day = small("event { at_ms: 500 trouble: SERVER_RESTARTED for_ms: 500 count: 3 }")
+    world = World(day)
+    for server in world.servers.values():
+        server.config.fall_multiple = 0.01
+    result = judged(day, world.play())
+    assert result["rules"]["no effect twice"]["kept"] and not result["rules"]["cold servers"]["kept"]
+
+
 def test_a_cut_is_refused_on_sockets_and_where_it_names_nobody() -> None:
     with pytest.raises(Faults, match="source: missing"):
         small("event { at_ms: 1000 for_ms: 1500 trouble: NET_CUT sink: 'a' }")
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -7,6 +7,7 @@
 import json
 import os
 import socket
+import sys
 
 import pytest
 
@@ -540,3 +541,42 @@
                             pass
                         raise AssertionError("it ended as if all had been meant")
     run(test())
+
+
+KILLED = """
+import asyncio, sys
+from martenstep.door.wires import Pool
+
+async def main():
+    pool = Pool(1, 1000.0, lambda where, why: None)
+    assert pool.reserve(("127.0.0.1", int(sys.argv[1])))
+    upstream = await pool.dial(("127.0.0.1", int(sys.argv[1])))
+    upstream.writer.write(b"b" * 60_000)
+    print("written", flush=True)
+    await asyncio.sleep(60)
+
+asyncio.run(main())
+"""
+
+
+def test_what_a_killed_door_had_written_is_taken_back_too() -> None:
+    """Its client is told by the broken connection that it is over; the kernel would deliver the rest all the same."""
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            listener.setblocking(False)
+            door = await asyncio.create_subprocess_exec(sys.executable, "-c", KILLED, str(listener.getsockname()[1]),
+                                                        stdout=asyncio.subprocess.PIPE)
+            assert door.stdout is not None
+            server, _ = await loop.sock_accept(listener)
+            with server:
+                assert await door.stdout.readline() == b"written\n"
+                door.kill()
+                await door.wait()
+                with pytest.raises(ConnectionResetError):
+                    while await loop.sock_recv(server, 65536):
+                        pass
+    run(test())
