--- a/martenstep/store/core.py
+++ b/martenstep/store/core.py
@@ -557,7 +557,6 @@
             self._tell(op.call, Verdict.OK, held.total)
             return
         if held.found < op.known:
-            node.chain += 1
             self._lost_contents(node, op, register.generation == node.generation)
         if op.name == node.witness:
             lane.witnessed = True
@@ -587,8 +586,9 @@
 
     def _lost_contents(self, node: _Node, op: Op, anew: bool) -> None:
         """The store does not hold what it held: state all that this door has there, once."""
-        if anew:
+        if anew:  # else it is the loss that is known
             self._anew(node)
+            node.chain += 1
             for name in reversed(self._registers):  # the newest names matter most
                 if name != op.name and self._registers[name].version and self._node_of(name) is node:
                     self._lane_of(name, node).restore[name] = None
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -42,6 +42,7 @@
         self.wires: list[Wire] = []
         self.opening: list[tuple[int, Lane]] = []
         self.told: dict[int, tuple[Verdict, float]] = {}
+        self.kept: dict[int, float] = {}  # for so long the store had lost nothing, as that call was told
         self.calls: dict[int, tuple[int, int, float, float]] = {}  # door, name, units, when
         self.notes: list[str] = []
         self.totals = True  # units are never below 0, so that totals can be judged
@@ -208,6 +209,7 @@
                 assert number == door, "another door's call"
                 assert self.now <= at + TIMEOUT_MS + 0.5, "told after its time"
                 self.told[action.call] = action.verdict, action.total
+                self.kept[action.call] = action.kept_ms
                 if action.verdict is Verdict.OK and self.totals:
                     most = sum(units for _, called, units, _ in self.calls.values() if called == name)
                     assert action.total <= most + 1e-6, "a total beyond all that was ever added"
--- /dev/null
+++ b/tests/test_sweep.py
@@ -0,0 +1,91 @@
+"""Sweeps: drawn days are days, the same everywhere; what breaks a rule is found, shrunk, saved and told."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+from google.protobuf import text_format
+
+from martenstep.cli.main import cli
+from martenstep.config.text import Faults
+from martenstep.lab import day_pb2 as pb
+from martenstep.lab import plan_pb2
+from martenstep.lab.day import parse_day
+from martenstep.lab.emulate.doors import EmuDoor
+from martenstep.lab.experiment import sweep
+from martenstep.lab.rules import ANSWERED, CEILINGS
+
+ROOT = Path(__file__).resolve().parent.parent
+SMALL = 'name: "small" days: 6 doors_most: 4 tries_most: 60 troubles_most: 2'
+
+
+def plan(text: str = SMALL) -> plan_pb2.Sweep:
+    return sweep.parse_sweep(text, "sweep.txtpb")
+
+
+def test_every_drawn_day_passes_the_checks_of_days_and_is_the_same_again() -> None:
+    kept = sweep.load_sweep(ROOT / "plans" / "sweep.txtpb")
+    seen: set[int] = set()
+    for number in range(150):
+        day = sweep.drawn(kept, number)
+        assert parse_day(text_format.MessageToString(day), "day.txtpb") == day == sweep.drawn(kept, number)
+        seen |= {event.trouble for event in day.event}
+    assert seen >= set(sweep.KINDS)  # each trouble is drawn
+
+
+def test_the_plan_is_checked() -> None:
+    with pytest.raises(Faults, match="doors_most: expected from 1 to 512"):
+        plan('name: "a" doors_most: 0')
+    with pytest.raises(Faults, match="COUNTER_KILLED is not drawn"):
+        plan('name: "a" trouble: COUNTER_KILLED')
+
+
+def test_a_sweep_goes_on_where_it_was_and_tells_what_it_did(tmp_path: Path) -> None:
+    file, out = tmp_path / "sweep.txtpb", tmp_path / "out"
+    file.write_text(SMALL)
+    words = ["lab", "sweep", str(file), "--out", str(out), "--workers", "2"]
+    first = CliRunner().invoke(cli, words)
+    assert first.exit_code == 0 and "6 days drawn from seed 1, 0 of them broke a rule." in first.output, first.output
+    lines = (out / sweep.JOURNAL).read_text().splitlines()
+    assert sorted(json.loads(line)["number"] for line in lines[1:]) == list(range(6))
+    (out / sweep.JOURNAL).write_text("\n".join([*lines[:4], lines[4][:20]]))  # killed while it wrote
+    again = CliRunner().invoke(cli, words)
+    assert again.exit_code == 0 and again.output == first.output
+    file.write_text(SMALL + " seed: 2")
+    other = CliRunner().invoke(cli, words)
+    assert other.exit_code == 2 and "another plan or revision" in other.output
+
+
+def test_a_broken_rule_is_found_shrunk_and_replays(monkeypatch: pytest.MonkeyPatch) -> None:
+    reply = EmuDoor._reply
+    monkeypatch.setattr(EmuDoor, "_reply", lambda self, action: reply(self, action) if action.status != 429 else None)
+    made = plan(SMALL + " trouble: STORE_SLOW trouble: STORE_PAUSED")
+    rows = [sweep.one(made.SerializeToString(), number) for number in range(6)]
+    broken = [row for row in rows if row["broken"]]
+    assert broken and all(row["broken"] == [ANSWERED] and "no final answer" in row["told"] for row in broken)
+    day = sweep.drawn(made, broken[0]["number"])
+    small = sweep.smallest(day, [ANSWERED], 12)
+    assert sweep.broken_in(small)[0] == [ANSWERED]
+    assert len(small.event) <= len(day.event) and sum(p.rate for p in small.phase) < sum(p.rate for p in day.phase)
+    told = sweep.summary(made, rows)
+    assert f"{len(broken)} of them broke a rule; answered: {len(broken)}" in told
+
+
+def test_a_ceiling_that_nobody_keeps_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    from martenstep import decide
+    monkeypatch.setattr(decide.Ledger, "book", lambda self, now, units: decide.Meter(1.0, 1.0, now))
+    monkeypatch.setattr(decide.Meter, "wait", lambda self, now, units: 0.0)
+    made = plan('name: "ceilings" doors_most: 4 tries_most: 300 troubles_most: 0')
+    found = next(row for number in range(30) if (row := sweep.one(made.SerializeToString(), number))["broken"])
+    assert CEILINGS in found["broken"] and "beyond both" in found["told"]
+
+
+def test_a_day_that_brings_the_program_down_is_a_broken_one() -> None:
+    def dies(day: pb.Day) -> dict[str, Any]:
+        raise ZeroDivisionError("of a door")
+    broken, told = sweep.broken_in(sweep.drawn(plan(), 0), dies)
+    assert broken == [sweep.CRASHED] and "ZeroDivisionError: of a door" in told
