--- a/martenstep/lab/emulate/world.py
+++ b/martenstep/lab/emulate/world.py
@@ -247,13 +247,14 @@
 
     def _trouble(self, event: pb.Event) -> None:
         name, targets = pb.Trouble.Name(event.trouble), targets_of(self.day, event)
-        self._event("trouble", name=name, targets=targets, on=True)
+        ways = {"ways": self._ways(event)} if event.trouble == pb.NET_CUT else {}
+        self._event("trouble", name=name, targets=targets, on=True, **ways)
         off = getattr(self, f"_{name.lower()}")(event, targets)
         if event.for_ms:
             def end() -> None:
                 if off is not None:
                     off()
-                self._event("trouble", name=name, targets=targets, on=False)
+                self._event("trouble", name=name, targets=targets, on=False, **ways)
             self.sim.after(event.for_ms, end)
 
     def _servers_of(self, targets: list[int]) -> list[EmuServer]:
@@ -435,8 +436,12 @@
 
     # Network
 
+    @staticmethod
+    def _ways(event: pb.Event) -> list[tuple[str, str]]:
+        return [(event.source, event.sink)] + ([(event.sink, event.source)] if event.both_ways else [])
+
     def _net_cut(self, event: pb.Event, targets: list[int]) -> Callable[[], None]:
-        ways = [(event.source, event.sink)] + ([(event.sink, event.source)] if event.both_ways else [])
+        ways = self._ways(event)
         for way in ways:
             self.net.cut(*way)
 
--- a/martenstep/lab/experiment/sweep.py
+++ b/martenstep/lab/experiment/sweep.py
@@ -162,17 +162,19 @@
     clients.leave_share = rng.choice((0, 0.05, 0.3))
     if rng.random() < 0.05:
         clients.abuse_plan = day.plan[0].name
+    if rng.random() < 0.1:
+        day.auth_services.number, day.auth_services.max_age_s = rng.randint(1, 3), rng.choice((0, 5))
+        day.auth_services.bad_share = rng.choice((0, 0.2))
+    _events(rng, day, plan)
     rules = day.rules
     rules.answer_slack_ms, rules.drain_grace_ms, rules.cold_from = 8, rng.choice((500, 1000)), 0.25
     rules.warm_within_ms, rules.fall_multiple, rules.fall_window_ms = rng.choice((2000, 5000)), 4, 1000
     upstream = day.upstream
     upstream.max_attempts, upstream.cancel, upstream.connect_ms = rng.randint(1, 4), rng.random() < 0.8, 250
+    # What may not be called off is delivered whenever the network lets it, after its request's end as well.
+    upstream.cancel = upstream.cancel or any(event.trouble == pb.NET_CUT for event in day.event)
     day.store_timeout_ms = round(rng.uniform(20, 100), 0)
     day.judge_slack_ms = 20
-    if rng.random() < 0.1:
-        day.auth_services.number, day.auth_services.max_age_s = rng.randint(1, 3), rng.choice((0, 5))
-        day.auth_services.bad_share = rng.choice((0, 0.2))
-    _events(rng, day, plan)
     return day
 
 
