Targets in absolute form, tunnels and OPTIONS * are taken as RFC 9112 3.2 says

Need: a target in absolute form went upstream unchanged and came back as 503 after two attempts and 1.05 s; CONNECT and OPTIONS * were answered 400 with the connection kept, though a tunnel's bytes may follow.

Change: the target's authority replaces Host and the origin form goes on; another scheme, or a host that is none of the new listener.host_name, is 421, a bad authority 400; CONNECT is 405 with allow, and the connection ends; OPTIONS * is 204 with allow. Status lines carry their reason phrase. A property test: what is taken is read by a server's parser as the same request, and nothing is left over.

--- a/martenstep/config/changes.py
+++ b/martenstep/config/changes.py
@@ -19,6 +19,7 @@
     "customer", "route", "default_plan", "stop_ms", "log.lines_per_s",
     "listener.max_connections", "listener.max_open", "listener.head_bytes", "listener.body_bytes",
     "listener.idle_ms", "listener.head_ms", "listener.leave_on_half_close", "listener.answer_margin_ms",
+    "listener.host_name",
     "upstream.answer_idle_ms", "upstream.keep_body_bytes", "upstream.hold_answer_bytes",
     "hooks.directory", "hooks.trusted_key", "hooks.class", "hooks.plan", "hooks.customer", "hooks.least_units",
     "hooks.most_units", "hooks.path_prefix", "hooks.failure_share", "hooks.mean_steps", "hooks.least_runs",
--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -22,6 +22,7 @@
 MOST_WORKERS = 256
 CUSTOMER_BITS = 33  # the module's customers are numbers below 2^33
 HEX_KEY = re.compile(r"[0-9a-f]{64}")
+HOST_NAME = re.compile(r"(\[[0-9a-fA-F:.]+\]|[A-Za-z0-9.\-_]+)(:[0-9]{1,5})?")
 METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "PATCH")
 
 
@@ -242,6 +243,9 @@
     check.above_zero(door.listener, node, "idle_ms", "head_ms")
     if door.HasField("admin"):
         check.port(door.admin, root.at("admin"), any_free=True)
+    for number, name in enumerate(door.listener.host_name):
+        if not HOST_NAME.fullmatch(name):
+            check.fault(node.at(f"host_name[{number}]"), f"expected host or host:port, got {name!r}")
     check_server_tls(check, door.listener.tls if door.listener.HasField("tls") else None, node.at("tls"))
     for owner, part in (("upstream", door.upstream), ("auth", door.auth), ("counter", door.counter)):
         if part.HasField("tls"):
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -26,6 +26,7 @@
 from martenstep.door.http import STATUS, header, only_ours, overlaid, own_answer, rate_limit, reason_header, waits
 from martenstep.door.points import Points, encoded
 from martenstep.door.routes import Guarded, Routed, Routes, Unroutable
+from martenstep.door.targets import Declined, Targets
 from martenstep.door.traces import Sampler, Trace
 from martenstep.door.verdicts import StatusTable, of_ending, of_stop
 from martenstep.hooks.releases import EMPTY, Edition, Shelf
@@ -37,6 +38,8 @@
 ID_BYTES = 200  # of a client's request id at most: longer ones are cut
 EDGE = 0  # the number of the edge proxy as a server
 PLANS_KNOWN = 20_000  # credentials whose plan is kept, to shed by it
+NO_CONTENT = 204
+NO_HEADERS: ev.Headers = []
 NOBODY = api.Plan("")  # of a request whose customer is not known yet
 # Of a denying answer, what a client needs to do better: where to log in, and how.
 DENY_HEADERS = frozenset((b"content-type", b"www-authenticate", b"location", b"set-cookie", b"retry-after",
@@ -94,6 +97,7 @@
         self.settings = module_settings(door)
         self._gateway = Gateway(self.settings, seed)
         self._routes = Routes(door)
+        self._targets = Targets(door.listener.HasField("tls"), list(door.listener.host_name))
         upstream, listener = door.upstream, door.listener
         self._status = StatusTable(upstream.refusal_status, upstream.refusal_header,
                                    frozenset(upstream.error_status or ERROR_STATUS))
@@ -186,6 +190,7 @@
     def reconfigure(self, door: pb.Door) -> None:
         """Take up settings that differ only in what can change in service; requests that are inside keep theirs."""
         self._routes = Routes(door)
+        self._targets = Targets(door.listener.HasField("tls"), list(door.listener.host_name))
         self._points = self._points_of(door)
         self._margin, self._max_open = door.listener.answer_margin_ms, door.listener.max_open
 
@@ -436,6 +441,13 @@
                 self._turn_away(event, about.status, about.reason, named, None)
                 return
             method, target = about.method, about.target
+        else:
+            taken = self._targets.take(method, target, event.headers)
+            if isinstance(taken, Declined):
+                self._turn_away(event, taken.status, taken.reason, named, None, taken.headers)
+                return
+            target = event.target = taken.target
+            event.headers = taken.headers
         routed = self._routes.route(method, target, event.headers)
         if isinstance(routed, Unroutable):
             self._turn_away(event, routed.status, routed.reason, named, None)
@@ -572,10 +584,11 @@
         assert self._auth is not None
         self._ask_did(self._auth.failed(self._now, event.check, event.attempt))
 
-    def _turn_away(self, event: ev.Arrived, status: int, reason: str, label: str, wait: float | None) -> None:
+    def _turn_away(self, event: ev.Arrived, status: int, reason: str, label: str, wait: float | None,
+                   more: ev.Headers = NO_HEADERS) -> None:
         """Answer what never reaches the module."""
-        headers, body = own_answer(reason, label, wait)
-        headers += self._signed(label)
+        headers, body = own_answer(reason, label, wait) if status != NO_CONTENT else ([], b"")
+        headers += [*more, *self._signed(label)]
         self._out.append(ev.Note("turned away", {"request": label, "status": status, "reason": reason}))
         self._out.append(ev.Reply(event.ticket, status, headers, body))
 
--- a/martenstep/door/http.py
+++ b/martenstep/door/http.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from http import HTTPStatus
 from urllib.parse import unquote
 
 import h11
@@ -45,6 +46,8 @@
     "check failed": "no authentication service gave a verdict",
     "check shed": "too many requests wait for the authentication service",
     "bad target": "the request's target cannot be read",
+    "misdirected": "this door does not answer for the named host or scheme",
+    "no tunnels": "this door makes no tunnels",
     "bad deadline": "the deadline header is not a number above 0",
 }
 SECOND_MS = 1000.0
@@ -67,9 +70,13 @@
     return out[:-2] + _rest(headers) + b"\r\n"
 
 
+PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
 def response_head(connection: h11.Connection, status: int, headers: Headers) -> bytes:
     """A response's head, in the same way; the parser adds what the client's version asks for."""
-    out = connection.send(h11.Response(status_code=status, headers=_framed(headers))) or b""
+    out = connection.send(h11.Response(status_code=status, headers=_framed(headers),
+                                       reason=PHRASES.get(status, b""))) or b""
     return out[:-2] + _rest(headers) + b"\r\n"
 
 
