Servers' side of the door reads and writes through the new wire, not h11

Change: connections to servers and authentication services ask through door/wire (Asking): the head is written at once and held to hold as many lines as it should, answers are read by llhttp and our own framing. An answer with two framings is a bad one now; until here h11 took its chunks. A property test: no header or target opens a line of its own.

--- a/martenstep/door/checks.py
+++ b/martenstep/door/checks.py
@@ -5,12 +5,12 @@
 import asyncio
 from typing import Protocol
 
-import h11
-
 from martenstep.config import door_pb2 as pb
 from martenstep.config.tls import ClientContext
 from martenstep.door import events as ev
-from martenstep.door.http import END, plain_headers, request_head
+from martenstep.door.wire.asking import UnwritableError
+from martenstep.door.wire.heads import AnswerHead, Fault
+from martenstep.door.wire.readers import Data, End
 from martenstep.door.wires import Pool, Upstream
 
 IDLE_MS = 15_000.0  # an idle connection to a service is closed
@@ -106,32 +106,31 @@
         upstream.reader.sink = lambda data: self._came(action.check, flying, upstream, data)
         host = f"{action.address[0]}:{action.address[1]}".encode()
         try:
-            out = request_head(upstream.h11, b"GET", action.target, [(b"host", host), *action.headers])
-            upstream.writer.write(out + (upstream.h11.send(END) or b""))
-        except h11.LocalProtocolError:
+            out = upstream.wire.head(b"GET", action.target, [(b"host", host), *action.headers])
+            upstream.writer.write(out + upstream.wire.end())
+        except UnwritableError:
             self._failed(action.check, flying)
 
     def _came(self, check: int, flying: _Flying, upstream: Upstream, data: bytes) -> None:
         if flying.upstream is not upstream:
             return
         try:
-            upstream.h11.receive_data(data)
+            upstream.wire.feed(data)
             while flying.upstream is upstream:
-                event = upstream.h11.next_event()
-                if event is h11.NEED_DATA:
+                event = upstream.wire.next()
+                if event is None:
                     return
-                if isinstance(event, h11.Response):
-                    flying.status = event.status_code
-                    flying.headers = plain_headers(event)
-                elif isinstance(event, h11.Data):
+                if isinstance(event, AnswerHead):
+                    flying.status, flying.headers = event.status, event.headers
+                elif isinstance(event, Data):
                     flying.body += event.data
                     if len(flying.body) > self._bound:
                         self._failed(check, flying)
-                elif isinstance(event, h11.EndOfMessage):
+                elif isinstance(event, End):
                     self._whole(check, flying, upstream)
-                elif isinstance(event, h11.ConnectionClosed):
+                else:
                     self._failed(check, flying)
-        except h11.RemoteProtocolError:
+        except Fault:
             self._failed(check, flying)
 
     def _whole(self, check: int, flying: _Flying, upstream: Upstream) -> None:
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -27,8 +27,11 @@
 from martenstep.door.checks import Checks
 from martenstep.door.engine import Engine
 from martenstep.door.events import Ending
-from martenstep.door.http import END, own_answer, plain_headers, request_head, response_head
+from martenstep.door.http import END, own_answer, plain_headers, response_head
 from martenstep.door.traces import Trace
+from martenstep.door.wire.asking import UnwritableError
+from martenstep.door.wire.heads import AnswerHead, Fault
+from martenstep.door.wire.readers import Data, End
 from martenstep.door.wires import (
     READ_BYTES,
     AcceptingProtocol,
@@ -607,7 +610,7 @@
         upstream.reader.sink = lambda data: self._came(flight, upstream, data)
         try:
             more = self._write(flight, action, upstream)
-        except h11.LocalProtocolError:  # a head that may not be sent on, though it may come
+        except UnwritableError:  # a head that may not be sent on, though it may come
             self._failed(flight, Ending.NOT_WRITTEN)
             return
         if more:
@@ -622,16 +625,16 @@
             headers.append((b"transfer-encoding", b"chunked"))
         if not any(name == b"host" for name, _ in headers):  # HTTP/1.0 has none
             headers.append((b"host", f"{action.address[0]}:{action.address[1]}".encode()))
-        out = [request_head(upstream.h11, action.method, action.target, headers)]
+        out = [upstream.wire.head(action.method, action.target, headers)]
         more = False
         if body is not None:
             body.rewind()
             data = body.take()
             if data:
-                out.append(upstream.h11.send(h11.Data(data=data)) or b"")
+                out.append(upstream.wire.data(data))
             more = not body.complete
         if not more:
-            out.append(upstream.h11.send(END) or b"")
+            out.append(upstream.wire.end())
         # From here it may run.  No await between this word and the write.
         self.act(ev.Written(flight.ticket, action.attempt))
         upstream.writer.write(b"".join(out))
@@ -643,15 +646,15 @@
         """Write the rest of the body as it comes from the client."""
         body = flight.body
         assert body is not None
-        with suppress(ConnectionError, OSError, h11.LocalProtocolError):  # the reading side tells how it ended
+        with suppress(ConnectionError, OSError):  # the reading side tells how it ended
             while flight.upstream is upstream:
                 if body.pos < body.size:
-                    upstream.writer.write(upstream.h11.send(h11.Data(data=body.take())) or b"")
+                    upstream.writer.write(upstream.wire.data(body.take()))
                     await upstream.writer.drain()
                     if flight.upstream is upstream and body.trim():
                         self.act(ev.BodyDropped(flight.ticket))
                 elif body.complete:
-                    upstream.writer.write(upstream.h11.send(END) or b"")
+                    upstream.writer.write(upstream.wire.end())
                     return
                 else:
                     body.wake.clear()
@@ -662,25 +665,25 @@
         if flight.upstream is not upstream:
             return
         try:
-            upstream.h11.receive_data(data)
+            upstream.wire.feed(data)
             self._read(flight, upstream)
-        except h11.RemoteProtocolError:
+        except Fault:
             if flight.upstream is upstream:
                 self._failed(flight, Ending.CLOSED if upstream.reader.ended else Ending.BAD_ANSWER)
 
     def _read(self, flight: Flight, upstream: Upstream) -> None:
         """Take what there is of an answer; pass it on as the engine says."""
-        connection, ticket, number = upstream.h11, flight.ticket, flight.number
+        wire, ticket, number = upstream.wire, flight.ticket, flight.number
         client = flight.client
         while flight.upstream is upstream:
-            event = connection.next_event()
-            if event is h11.NEED_DATA:
+            event = wire.next()
+            if event is None:
                 return
-            if isinstance(event, h11.Response):
-                self.act(ev.AnswerHead(ticket, number, event.status_code, plain_headers(event)))
-            elif isinstance(event, h11.Data):
+            if isinstance(event, AnswerHead):
+                self.act(ev.AnswerHead(ticket, number, event.status, event.headers))
+            elif isinstance(event, Data):
                 flight.progress = now_ms()
-                part = bytes(event.data)
+                part = event.data
                 if not flight.passing:
                     flight.held.append(part)
                     flight.held_bytes += len(part)
@@ -689,9 +692,9 @@
                 elif not client.writer.transport.is_closing():
                     client.writer.write(client.h11.send(h11.Data(data=part)) or b"")
                     self._hold_back(flight, upstream)
-            elif isinstance(event, h11.EndOfMessage):
+            elif isinstance(event, End):
                 self._whole(flight, upstream)
-            elif isinstance(event, h11.ConnectionClosed):
+            else:
                 self._failed(flight, Ending.CLOSED)
 
     def _hold_back(self, flight: Flight, upstream: Upstream) -> None:
@@ -722,7 +725,7 @@
         if passing and not client.writer.transport.is_closing():
             with suppress(h11.LocalProtocolError):
                 client.writer.write(client.h11.send(END) or b"")
-        if upstream.h11.our_state is h11.DONE and not upstream.paused:
+        if upstream.wire.written and not upstream.paused:
             self.pool.put(upstream)
         else:
             self.pool.drop(upstream)  # an early answer: the rest of the body is not written
--- a/martenstep/door/http.py
+++ b/martenstep/door/http.py
@@ -63,13 +63,6 @@
     return b"".join([b"%b: %b\r\n" % pair for pair in headers if pair[0] not in FRAMED])
 
 
-def request_head(connection: h11.Connection, method: bytes, target: bytes, headers: Headers) -> bytes:
-    """A request's head.  The parser is told only the headers that its state rests on, and checks these; the others
-    came through a parser already, or are the door's own."""
-    out = connection.send(h11.Request(method=method, target=target, headers=_framed(headers))) or b""
-    return out[:-2] + _rest(headers) + b"\r\n"
-
-
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -15,7 +15,7 @@
 from contextlib import suppress
 from typing import Any, cast
 
-import h11
+from martenstep.door.wire.asking import Asking
 
 Lost = Callable[[], None]
 Refused = Callable[[str, str], None]  # whose handshake, and why
@@ -140,11 +140,11 @@
 class Upstream:
     """One connection to a server."""
 
-    __slots__ = ("address", "h11", "idle_since", "paused", "reader", "writer")
+    __slots__ = ("address", "idle_since", "paused", "reader", "wire", "writer")
 
     def __init__(self, address: tuple[str, int], reader: WatchedReader, writer: asyncio.StreamWriter) -> None:
         self.address, self.reader, self.writer = address, reader, writer
-        self.h11 = h11.Connection(h11.CLIENT)
+        self.wire = Asking()
         self.idle_since = 0.0
         self.paused = False  # reading stands still for a slow client
 
@@ -229,13 +229,7 @@
 
     def put(self, upstream: Upstream) -> None:
         """Keep a connection whose answer is whole for the next attempt."""
-        if upstream.h11.trailing_data[0] or upstream.reader.ended:
-            # Bytes behind the answer would be taken for the next request's answer.
-            self.drop(upstream)
-            return
-        try:
-            upstream.h11.start_next_cycle()
-        except h11.LocalProtocolError:  # it is to be closed, as its answer said
+        if not upstream.wire.reusable or upstream.reader.ended:
             self.drop(upstream)
             return
         upstream.reader.touched = False
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from martenstep.door.events import Headers
-from martenstep.door.http import request_head
 from martenstep.door.targets import Declined, Taken, Targets, split_authority
+from martenstep.door.wire.asking import Asking
 
 HOST: Headers = [(b"host", b"a.example"), (b"accept", b"*/*")]
 TABLE: list[tuple[bytes, bytes, int | tuple[bytes, bytes]]] = [
@@ -102,7 +102,8 @@
         return
     assert isinstance(found, Taken) and found.target.startswith(b"/")
     server = h11.Connection(h11.SERVER)
-    server.receive_data(request_head(h11.Connection(h11.CLIENT), method, found.target, found.headers))
+    asking = Asking()
+    server.receive_data(asking.head(method, found.target, found.headers) + asking.end())
     read = server.next_event()
     assert isinstance(read, h11.Request) and (read.method, read.target) == (method, found.target)
     assert sorted(read.headers) == sorted(found.headers)
--- a/tests/test_wire_readers.py
+++ b/tests/test_wire_readers.py
@@ -11,7 +11,8 @@
 from hypothesis import settings as hypo
 from hypothesis import strategies as st
 
-from martenstep.door.wire.heads import AnswerHead, Fault, RequestHead
+from martenstep.door.wire.asking import Asking, UnwritableError
+from martenstep.door.wire.heads import AnswerHead, Fault, Headers, RequestHead
 from martenstep.door.wire.readers import AnswerReader, Data, End, Gone, RequestReader
 
 BOUND = 2000
@@ -320,3 +321,47 @@
     assert answers(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")[2]
     assert not answers(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")[2]
     assert not answers(b"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n")[2]
+
+
+# Asking -------------------------------------------------------------------------------------------------
+
+
+@given(st.lists(st.tuples(st.sampled_from([b"x-a", b"x-b"]), st.text("a:\r\n\0 \t", max_size=8).map(str.encode)),
+                max_size=4), st.text("/a \r\n\0", max_size=8).map(str.encode), st.booleans())
+@hypo(max_examples=300, deadline=None, derandomize=True)
+def test_no_header_or_target_opens_a_line_of_its_own(more: Headers, target: bytes, host: bool) -> None:
+    headers = [*([(b"host", b"h")] if host else []), *more]
+    asking = Asking()
+    try:
+        raw = asking.head(b"GET", target, headers) + asking.end()
+    except UnwritableError:
+        assert not host or any(byte in b"".join((target, *(value for _, value in more))) for byte in b"\r\n\0 ")
+        return
+    reader = RequestReader(BOUND)
+    reader.feed(raw)
+    try:
+        head = reader.next()
+    except Fault:
+        assert not target.startswith(b"/")  # which no request that is routed has
+        return
+    assert isinstance(head, RequestHead) and (head.target, len(head.headers)) == (target, len(headers))
+    assert isinstance(reader.next(), End) and not reader.rest
+
+
+def test_a_connection_is_asked_again_only_when_all_of_the_last_is_whole() -> None:
+    def asked(answer: bytes, *, whole: bool = True, chunked: bool = False) -> bool:
+        asking = Asking()
+        coding = [(b"transfer-encoding", b"chunked")] if chunked else [(b"content-length", b"2")]
+        asking.head(b"POST", b"/", [(b"host", b"h"), *coding])
+        assert asking.data(b"ab") == (b"2\r\nab\r\n" if chunked else b"ab")
+        if whole:
+            assert asking.end() == (b"0\r\n\r\n" if chunked else b"")
+        asking.feed(answer)
+        while isinstance(asking.next(), AnswerHead | Data):
+            pass
+        return asking.reusable
+    good = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+    assert asked(good) and asked(good, chunked=True)
+    assert not asked(good, whole=False)  # an early answer
+    assert not asked(good[:-1]) and not asked(good + b"y")
+    assert not asked(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
