Clients' side of the door reads and writes through the new wire too; HEAD, HTTP/1.0

A refused HEAD gets its headers and no body: it had broken the connection, since the refusal's body was more than such an answer holds. An HTTP/1.0 client that asks to keep its connection keeps it and is told so; chunks never go to one. Status lines carry reason phrases.

--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -19,19 +19,18 @@
 from contextlib import suppress
 from typing import Any
 
-import h11
-
 from martenstep.config import door_pb2 as pb
 from martenstep.config.tls import ClientContext, ServerContext
 from martenstep.door import events as ev
 from martenstep.door.checks import Checks
 from martenstep.door.engine import Engine
 from martenstep.door.events import Ending
-from martenstep.door.http import END, own_answer, plain_headers, response_head
+from martenstep.door.http import own_answer
 from martenstep.door.traces import Trace
-from martenstep.door.wire.asking import UnwritableError
-from martenstep.door.wire.heads import AnswerHead, Fault
+from martenstep.door.wire.answering import Answering
+from martenstep.door.wire.heads import AnswerHead, Fault, RequestHead
 from martenstep.door.wire.readers import Data, End
+from martenstep.door.wire.writing import UnwritableError
 from martenstep.door.wires import (
     READ_BYTES,
     AcceptingProtocol,
@@ -48,8 +47,6 @@
 PASS_BYTES = 65536  # of an answer that a slow client has not taken yet, before its server is read no further
 LINGER_BYTES = 262144  # of an unread body that are read and thrown away, so that a reset does not eat the answer
 LINGER_MS = 1000.0
-HEADER_EXTRA = 4  # colon, space and line end of one header
-STATUS_OF_HINT = {400: "bad request", 431: "head too large", 501: "transfer coding not known"}
 
 
 class Body:
@@ -128,7 +125,7 @@
     def __init__(self, driver: Driver, reader: WatchedReader, writer: asyncio.StreamWriter,
                  protocol: WatchedProtocol) -> None:
         self._driver, self.reader, self.writer = driver, reader, writer
-        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=driver.listener.head_bytes)
+        self.wire = Answering(driver.listener.head_bytes)
         self.flight: Flight | None = None
         self.since = now_ms()  # when it began to wait for a head
         self.partial = False  # a head has begun to come
@@ -155,8 +152,8 @@
                 await self._serve(request)
                 if not await self._next():
                     break
-        except h11.RemoteProtocolError as error:
-            self._refuse_bytes(error)
+        except Fault as fault:
+            self._refuse_bytes(fault)
             await self._linger()
         except (ConnectionError, TimeoutError, OSError):
             pass
@@ -166,26 +163,24 @@
     async def _event(self) -> Any:
         """The next event of the client's bytes."""
         while True:
-            event = self.h11.next_event()
-            if event is not h11.NEED_DATA:
+            event = self.wire.next()
+            if event is not None:
                 return event
             data = await self.reader.read(READ_BYTES)
             if self.flight is None and not self.partial:
                 self.partial, self.since = True, now_ms()
-            self.h11.receive_data(data)
+            self.wire.feed(data)
 
-    async def _head(self) -> h11.Request | None:
+    async def _head(self) -> RequestHead | None:
         self.since = now_ms()
-        self.partial = bool(self.h11.trailing_data[0])
+        self.partial = bool(self.wire.waiting)
         event = await self._event()
-        return event if isinstance(event, h11.Request) else None
+        return event if isinstance(event, RequestHead) else None
 
-    def _refuse_bytes(self, error: h11.RemoteProtocolError) -> None:
+    def _refuse_bytes(self, fault: Fault) -> None:
         """What came is not HTTP that the door takes: a 4xx, and the connection ends."""
-        if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE) or self.closing:
-            return
-        status = error.error_status_hint
-        self.plain(status, STATUS_OF_HINT.get(status, "bad request"))
+        if self.wire.owed and not self.closing:
+            self.plain(fault.status, fault.reason)
 
     def plain(self, status: int, reason: str) -> None:
         """An answer of the door's own outside the engine; the connection ends after it."""
@@ -195,13 +190,12 @@
 
     def answer(self, status: int, headers: ev.Headers, parts: list[bytes]) -> None:
         """A whole answer in one write."""
-        if self.writer.transport.is_closing() or self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        if self.writer.transport.is_closing() or not self.wire.owed:
             return
+        wire = self.wire
         try:
-            out = [response_head(self.h11, status, headers)]
-            out += [self.h11.send(h11.Data(data=part)) or b"" for part in parts]
-            out.append(self.h11.send(END) or b"")
-        except h11.LocalProtocolError:  # a length that does not fit what came: the client must not take it for whole
+            out = [wire.head(status, headers), *(wire.data(part) for part in parts), wire.end()]
+        except UnwritableError:  # a length that does not fit what came: the client must not take it for whole
             self.abort()
             return
         self.writer.write(b"".join(out))
@@ -211,37 +205,18 @@
         self.closing = True
         self.writer.transport.abort()
 
-    async def _serve(self, request: h11.Request) -> None:
+    async def _serve(self, request: RequestHead) -> None:
         """One request, to its final answer."""
-        driver = self._driver
-        headers = plain_headers(request)
-        # The parser bounds only heads that come in parts; one that comes whole is measured here.
-        size, length, chunked = len(request.target), None, False
-        for name, value in headers:
-            size += len(name) + len(value) + HEADER_EXTRA
-            if name == b"content-length":
-                length = int(value)
-            elif name == b"transfer-encoding":
-                chunked = True
-        if size > self._driver.listener.head_bytes:
-            self.plain(431, STATUS_OF_HINT[431])
-            await self._linger()
-            return
-        if chunked and length is not None:
-            # RFC 9112 6.3: two lengths are how requests are smuggled past one of two readers.
-            self.plain(400, "both content-length and transfer-encoding")
+        driver, headers, length = self._driver, request.headers, request.length
+        body: Body | None = None
+        if length is not None and length > driver.listener.body_bytes:
+            self.plain(413, "body too large")
             await self._linger()
             return
-        body: Body | None = None
-        if self.h11.their_state is h11.SEND_BODY:
-            if length is not None and length > driver.listener.body_bytes:
-                self.plain(413, "body too large")
-                await self._linger()
-                return
-            if length or chunked:
-                body = Body(driver.upstream.keep_body_bytes, length)
-        if body is None:
-            self.h11.next_event()  # the end of a message without a body
+        if length or request.chunked:
+            body = Body(driver.upstream.keep_body_bytes, length)
+        else:
+            self.wire.next()  # the end of a message without a body
         ticket = driver.ticket()
         flight = self.flight = Flight(ticket, self, body, driver.loop.create_future())
         driver.flights[ticket] = flight
@@ -263,10 +238,9 @@
         """Whether another request can follow on this connection."""
         if self.closing or self._driver.stopping:
             return False
-        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
-            self.h11.start_next_cycle()
+        if self.wire.again():
             return True
-        if self.h11.our_state is h11.MUST_CLOSE or self.h11.their_state is h11.SEND_BODY:
+        if self.wire.ends or not self.wire.read:
             await self._linger()
         return False
 
@@ -291,24 +265,22 @@
         body = flight.body
         assert body is not None
         try:
-            if self.h11.they_are_waiting_for_100_continue:
-                self.writer.write(self.h11.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
+            word = self.wire.proceed()
+            if word:
+                self.writer.write(word)
             while not body.complete:
                 await body.room.wait()
                 event = await self._event()
-                if isinstance(event, h11.Data):
-                    body.put(bytes(event.data))
+                if isinstance(event, Data):
+                    body.put(event.data)
                     if body.size > self._driver.listener.body_bytes:
                         self._give_up(flight, 413, "body too large")
                         return
-                elif isinstance(event, h11.EndOfMessage):
+                elif isinstance(event, End):
                     body.complete = True
                     body.wake.set()
-                else:
-                    self._give_up(flight, 400, "body broke off")
-                    return
-        except h11.RemoteProtocolError as error:
-            self._give_up(flight, error.error_status_hint, "bad body")
+        except Fault as fault:
+            self._give_up(flight, fault.status, fault.reason)
         except (ConnectionError, OSError):
             self._lost()
 
@@ -534,10 +506,14 @@
             flight.finish()
             return
         flight.passing, flight.progress = True, now_ms()
-        if client.writer.transport.is_closing() or client.h11.our_state is not h11.SEND_RESPONSE:
+        wire = client.wire
+        if client.writer.transport.is_closing() or not wire.owed:
+            return
+        try:
+            out = [wire.head(action.status, headers), *(wire.data(part) for part in flight.held)]
+        except UnwritableError:
+            client.abort()
             return
-        out = [response_head(client.h11, action.status, headers)]
-        out += [client.h11.send(h11.Data(data=part)) or b"" for part in flight.held]
         flight.held = []
         client.writer.write(b"".join(out))
 
@@ -690,8 +666,12 @@
                     if flight.held_bytes > self.upstream.hold_answer_bytes:
                         self.act(ev.AnswerBegun(ticket, number))
                 elif not client.writer.transport.is_closing():
-                    client.writer.write(client.h11.send(h11.Data(data=part)) or b"")
-                    self._hold_back(flight, upstream)
+                    try:
+                        client.writer.write(client.wire.data(part))
+                    except UnwritableError:
+                        client.abort()
+                    else:
+                        self._hold_back(flight, upstream)
             elif isinstance(event, End):
                 self._whole(flight, upstream)
             else:
@@ -723,8 +703,10 @@
         if task is not None:
             task.cancel()
         if passing and not client.writer.transport.is_closing():
-            with suppress(h11.LocalProtocolError):
-                client.writer.write(client.h11.send(END) or b"")
+            try:
+                client.writer.write(client.wire.end())
+            except UnwritableError:
+                client.abort()
         if upstream.wire.written and not upstream.paused:
             self.pool.put(upstream)
         else:
--- a/martenstep/door/http.py
+++ b/martenstep/door/http.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 import math
-from http import HTTPStatus
 from urllib.parse import unquote
 
-import h11
 import msgspec
 
 from martenstep.door.events import Headers
@@ -51,31 +49,6 @@
     "bad deadline": "the deadline header is not a number above 0",
 }
 SECOND_MS = 1000.0
-FRAMED = (b"content-length", b"transfer-encoding", b"connection", b"host")  # what the parser's state rests on
-END = h11.EndOfMessage()
-
-
-def _framed(headers: Headers) -> Headers:
-    return [pair for pair in headers if pair[0] in FRAMED]
-
-
-def _rest(headers: Headers) -> bytes:
-    return b"".join([b"%b: %b\r\n" % pair for pair in headers if pair[0] not in FRAMED])
-
-
-PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
-
-
-def response_head(connection: h11.Connection, status: int, headers: Headers) -> bytes:
-    """A response's head, in the same way; the parser adds what the client's version asks for."""
-    out = connection.send(h11.Response(status_code=status, headers=_framed(headers),
-                                       reason=PHRASES.get(status, b""))) or b""
-    return out[:-2] + _rest(headers) + b"\r\n"
-
-
-def plain_headers(event: h11.Request | h11.Response) -> Headers:
-    """Headers as a list, names in lower case; walking the parser's own sequence costs several times more."""
-    return [(name.lower(), value) for name, value in event.headers.raw_items()]
 
 
 def only_ours(headers: Headers) -> Headers:
--- a/martenstep/door/wire/asking.py
+++ b/martenstep/door/wire/asking.py
@@ -4,14 +4,11 @@
 
 from martenstep.door.wire.heads import AnswerHead, Headers
 from martenstep.door.wire.readers import AnswerReader, Data, End, Gone
+from martenstep.door.wire.writing import LAST_CHUNK, UnwritableError, chunk, head_of
 
 HEAD_BYTES = 65_536  # of an answer's head: a server's cookies and policies may be long
 
 
-class UnwritableError(Exception):
-    """A head that would be read as another one, or that no server takes."""
-
-
 class Asking:
     """The requests of one connection, one at a time."""
 
@@ -25,14 +22,10 @@
         self.written = True  # and its request is written to its end
 
     def head(self, method: bytes, target: bytes, headers: Headers) -> bytes:
-        """A request's head; raises UnwritableError.
-
-        Names and values came through a parser, the settings or a hook's border; that none of them opens a line of its
-        own is checked once more for the head as a whole, which costs next to nothing."""
-        out = b"%b %b HTTP/1.1\r\n%b\r\n" % (method, target, b"".join([b"%b: %b\r\n" % pair for pair in headers]))
-        lines = len(headers) + 2
-        if out.count(b"\n") != lines or out.count(b"\r") != lines or out.count(b"\0") or b" " in target:
-            raise UnwritableError("a head with a line of its own in it")
+        """A request's head; raises UnwritableError."""
+        out = head_of(b"%b %b HTTP/1.1" % (method, target), headers)
+        if b" " in target:
+            raise UnwritableError("a target with a space in it")
         if sum(name == b"host" for name, _ in headers) != 1:
             raise UnwritableError("not one host")
         self._chunked = (b"transfer-encoding", b"chunked") in headers
@@ -43,12 +36,12 @@
 
     def data(self, part: bytes) -> bytes:
         """Bytes of its body."""
-        return b"%x\r\n%b\r\n" % (len(part), part) if self._chunked and part else part
+        return chunk(part) if self._chunked else part
 
     def end(self) -> bytes:
         """The request is whole."""
         self.written = True
-        return b"0\r\n\r\n" if self._chunked else b""
+        return LAST_CHUNK if self._chunked else b""
 
     def feed(self, data: bytes) -> None:
         """Bytes that have come; none: the connection's end."""
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -563,6 +563,32 @@
     run(test())
 
 
+def test_a_refused_head_request_gets_its_headers_and_no_body() -> None:
+    """It had broken the connection: the body that a refusal has was more than the answer to HEAD may hold."""
+    async def test() -> None:
+        async with house(good) as door:
+            peer = await door.client()
+            await peer.write("HEAD /nowhere HTTP/1.1\r\nhost: a\r\nx-customer: free\r\n\r\n")
+            head = await peer.head()
+            assert head.startswith("http/1.1 404 not found") and "content-length: " in head
+            await peer.write(get("/read/1"))  # on the same connection, nothing between
+            assert (await peer.response())[0] == 200
+    run(test())
+
+
+def test_an_old_client_may_keep_its_connection_if_it_says_so() -> None:
+    async def test() -> None:
+        async with house(good) as door:
+            peer = await door.client()
+            for _ in range(2):
+                await peer.write("GET /read/1 HTTP/1.0\r\nconnection: keep-alive\r\nx-customer: free\r\n\r\n")
+                status, headers, body = await peer.response()
+                assert (status, body) == (200, b"/read/1") and "connection: keep-alive" in headers
+            await peer.write("GET /read/1 HTTP/1.0\r\nx-customer: free\r\n\r\n")
+            assert b"connection: close" in (await peer.rest())
+    run(test())
+
+
 KILLED = """
 import asyncio, sys
 from martenstep.door.wires import Pool
--- a/tests/test_wire_readers.py
+++ b/tests/test_wire_readers.py
@@ -11,9 +11,10 @@
 from hypothesis import settings as hypo
 from hypothesis import strategies as st
 
-from martenstep.door.wire.asking import Asking, UnwritableError
+from martenstep.door.wire.asking import Asking
 from martenstep.door.wire.heads import AnswerHead, Fault, Headers, RequestHead
 from martenstep.door.wire.readers import AnswerReader, Data, End, Gone, RequestReader
+from martenstep.door.wire.writing import UnwritableError
 
 BOUND = 2000
 HOST = b"Host: h\r\n"
