--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -52,10 +52,10 @@
 Started = tuple[subprocess.Popen[str], Any]
 
 
-def start(cores: str, *words: str) -> Started:
-    """Start a Python process on these cores and read its first line."""
+def start(cores: str, *words: str, folder: Path | None = None) -> Started:
+    """Start a Python process on these cores, in a folder whose code comes first, and read its first line."""
     process = subprocess.Popen(["taskset", "-c", cores, sys.executable, *words], stdout=subprocess.PIPE, text=True,
-                               stderr=subprocess.DEVNULL)
+                               stderr=subprocess.DEVNULL, cwd=folder)
     assert process.stdout is not None
     return process, json.loads(process.stdout.readline())
 
@@ -104,10 +104,11 @@
             process.wait()
 
 
-def subject(kind: str, ports: list[int], feed: int, store: int, folder: Path) -> Started:
-    """Start what is measured."""
-    if kind == "pass-through":
-        return start(str(CORE), "-m", "bench.passthrough", json.dumps(ports[:-2]))
+def subject(kind: str, ports: list[int], feed: int, store: int, folder: Path, other: Path | None) -> Started:
+    """Start what is measured; a kind that begins with "other " is of another checkout."""
+    if "pass-through" in kind:
+        module = "bench.passthrough_llhttp" if "llhttp" in kind else "bench.passthrough"
+        return start(str(CORE), "-m", module, json.dumps(ports[:-2]))
     plan = 'name: "p"' if "no quota" in kind else 'name: "p" rate: 100000 burst: 200000'
     told = f"store {{ port: {store} timeout_ms: 50 }}" if "store" in kind else ""
     file = folder / f"{kind.replace(' ', '-')}.txtpb"
@@ -122,7 +123,8 @@
     if "workers" in kind:
         guarded += f" workers {{ count: {int(kind.split()[-2])} share: {'REUSE_PORT' if 'own' in kind else 'PASSED'} }}"
     file.write_text(DOOR.format(store=told, feed=feed, plan=plan, auth=guarded, identity=identity))
-    return start(str(CORE), "-m", "martenstep", "serve", str(file), *(["--uvloop"] if "uvloop" in kind else []))
+    return start(str(CORE), "-m", "martenstep", "serve", str(file), *(["--uvloop"] if "uvloop" in kind else []),
+                 folder=other if kind.startswith("other ") else None)
 
 
 def hooks(folder: Path, sources: tuple[str, ...]) -> Path:
@@ -165,6 +167,7 @@
     parser.add_argument("--rate", type=float, default=250.0, help="of each of two loads, for the added time")
     parser.add_argument("--kinds", nargs="+", default=[
         "pass-through", "door, no quota", "door, quota", "door, quota, store", "door, quota, store, uvloop"])
+    parser.add_argument("--other", type=Path, help="a checkout whose door kinds that begin with 'other ' measure")
     words = parser.parse_args()
     for count in words.servers:
         found: dict[str, list[dict[str, Any]]] = {kind: [] for kind in words.kinds}
@@ -172,7 +175,7 @@
         with backends(count) as (ports, feed, store), tempfile.TemporaryDirectory() as folder:
             for _ in range(words.rounds):
                 for kind in words.kinds:
-                    process, told = subject(kind, ports, feed, store, Path(folder))
+                    process, told = subject(kind, ports, feed, store, Path(folder), words.other)
                     try:
                         time.sleep(0.5)
                         port = told["ready"]["listener"]
--- a/martenstep/lab/experiment/run.py
+++ b/martenstep/lab/experiment/run.py
@@ -11,8 +11,7 @@
 import subprocess
 import time
 from collections.abc import Callable
-from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
-from multiprocessing import get_context
+from concurrent.futures import FIRST_COMPLETED, Future, wait
 from pathlib import Path
 from typing import Any
 
@@ -23,6 +22,7 @@
 from martenstep.lab.emulate.judged import traffic_of
 from martenstep.lab.emulate.world import World
 from martenstep.lab.experiment.plan import runs_of
+from martenstep.lab.experiment.pool import workers as made_workers
 from martenstep.lab.measures import summary
 from martenstep.lab.play import play_day
 from martenstep.lab.report import figures, judged_traffic
@@ -124,7 +124,7 @@
             file.write(b"\n")  # a last line that was cut off ends here
         begin = time.monotonic()
         finished = 0
-        with ProcessPoolExecutor(workers, get_context("spawn")) as pool:
+        with made_workers(workers) as pool:
             out_now: set[Future[Row]] = set()
             todo = iter(left)
             while True:
--- a/martenstep/lab/experiment/sweep.py
+++ b/martenstep/lab/experiment/sweep.py
@@ -15,7 +15,6 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
-from multiprocessing import get_context
 from pathlib import Path
 from typing import Any
 
@@ -29,6 +28,7 @@
 from martenstep.lab.day import AUTH_TROUBLES, length_ms
 from martenstep.lab.emulate.judged import emulate
 from martenstep.lab.emulate.world import NOT_HERE
+from martenstep.lab.experiment.pool import workers as made_workers
 from martenstep.lab.experiment.run import RunError, revision
 from martenstep.lab.experiment.search import Found, event_of, shrink
 
@@ -250,7 +250,7 @@
     done = {row["number"] for row in rows}
     left = [number for number in range(plan.days) if number not in done]
     begin = time.monotonic()
-    with (out / JOURNAL).open("ab") as file, ProcessPoolExecutor(workers, get_context("spawn")) as pool:
+    with (out / JOURNAL).open("ab") as file, made_workers(workers) as pool:
         file.write(b"\n" if rows else json.dumps(head).encode() + b"\n" if not file.tell() else b"")
         for finished, row in enumerate(_all(pool, data, iter(left), 2 * workers), 1):
             rows.append(row)
--- a/tests/test_sweep.py
+++ b/tests/test_sweep.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -89,3 +92,28 @@
         raise ZeroDivisionError("of a door")
     broken, told = sweep.broken_in(sweep.drawn(plan(), 0), dies)
     assert broken == [sweep.CRASHED] and "ZeroDivisionError: of a door" in told
+
+
+def test_workers_end_with_a_killed_sweep(tmp_path: Path) -> None:
+    (tmp_path / "sweep.txtpb").write_text('name: "long" days: 100000 tries_most: 300')
+    words = ["lab", "sweep", str(tmp_path / "sweep.txtpb"), "--out", str(tmp_path / "out"), "--workers", "2"]
+    sweeper = subprocess.Popen([sys.executable, "-m", "martenstep", *words], stdout=subprocess.DEVNULL)
+    try:
+        while not (tmp_path / "out" / sweep.JOURNAL).exists() or b"seconds" not in (
+                tmp_path / "out" / sweep.JOURNAL).read_bytes():
+            time.sleep(0.05)
+        workers = [int(pid) for pid in Path(f"/proc/{sweeper.pid}/task/{sweeper.pid}/children").read_text().split()]
+        assert len(workers) >= 2
+    finally:
+        sweeper.kill()
+        sweeper.wait()
+    while any(_runs(pid) for pid in workers):
+        time.sleep(0.05)
+
+
+def _runs(pid: int) -> bool:
+    """Whether a process is there, and not only its entry, which nobody has asked for yet."""
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] not in "ZX"
+    except OSError:
+        return False
