--- a/martenstep/hooks/files.py
+++ b/martenstep/hooks/files.py
@@ -34,7 +34,7 @@
 from martenstep.config.text import Faults, Node
 from martenstep.hooks import manifest_pb2 as pb
 from martenstep.hooks.code import compile_source
-from martenstep.hooks.releases import Hook, Release
+from martenstep.hooks.release import Hook, Release
 from martenstep.hooks.syntax import MOST_BYTES, HookFault
 from martenstep.hooks.types import POINTS
 
--- a/martenstep/hooks/releases.py
+++ b/martenstep/hooks/releases.py
@@ -13,62 +13,16 @@
 
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
-import xxhash
-
-from martenstep.hooks.code import Program
-from martenstep.hooks.fast import Fast, translate
+from martenstep.hooks.release import Release
 from martenstep.hooks.runner import Limits, Runner
 from martenstep.hooks.vm import NEVER
 
-HASH_RANGE = 2**64
 Note = Callable[[str, dict[str, Any]], None]
 
 
-@dataclass(frozen=True, slots=True)
-class Hook:
-    """One hook of a release: where it stands, and for whom."""
-
-    point: str
-    name: str
-    program: Program
-    customers: frozenset[str] = frozenset()
-    plans: frozenset[str] = frozenset()
-    fast: Fast = field(init=False, compare=False, repr=False)  # made with it: it takes its time
-
-    def __post_init__(self) -> None:
-        object.__setattr__(self, "fast", translate(self.program))
-
-    def fits(self, customer: str, plan: str) -> bool:
-        """Whether it acts for this customer; a list that is empty names all."""
-        return (not self.customers or customer in self.customers) and (not self.plans or plan in self.plans)
-
-
-@dataclass(frozen=True, slots=True)
-class Release:
-    """A whole, checked release."""
-
-    version: int
-    digest: str  # of its manifest
-    hooks: tuple[Hook, ...]
-    share: float = 1.0
-    trial_customers: frozenset[str] = frozenset()
-    about: str = ""
-    signer: str = ""  # the key that vouches for it, where one does
-
-    @property
-    def whole(self) -> bool:
-        """Whether it is for all customers."""
-        return self.share >= 1.0
-
-    def holds(self, customer: str) -> bool:
-        """Whether a customer belongs to it: the same word at every door."""
-        return (self.whole or customer in self.trial_customers
-                or xxhash.xxh64_intdigest(customer.encode("utf-8", "replace")) < self.share * HASH_RANGE)
-
-
 def choose(releases: Iterable[Release], withdrawn: Collection[int]) -> tuple[Release | None, Release | None]:
     """The whole release that acts, and the trial beside it."""
     left = sorted((one for one in releases if one.version not in withdrawn), key=lambda one: one.version)
--- a/martenstep/hooks/runner.py
+++ b/martenstep/hooks/runner.py
@@ -12,14 +12,12 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import Any, TypeVar
 
 from martenstep.hooks.border import BorderError
+from martenstep.hooks.release import Hook, Release
 from martenstep.hooks.vm import BYTES, NEVER, STEPS, Counters, HookError, Machine
 
-if TYPE_CHECKING:
-    from martenstep.hooks.releases import Hook, Release
-
 FAILURES = 10  # within a window: the hook is left alone
 WINDOW_MS = 10_000.0
 ALONE_MS = 30_000.0  # then one run is its trial
--- a/tests/hook_rig.py
+++ b/tests/hook_rig.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from martenstep.hooks.code import compile_source
-from martenstep.hooks.releases import Hook, Release, Shelf
+from martenstep.hooks.release import Hook, Release
+from martenstep.hooks.releases import Shelf
 from martenstep.hooks.runner import Limits
 from martenstep.hooks.vm import NEVER
 from tests.door_rig import Rig
--- a/tests/test_hooks_releases.py
+++ b/tests/test_hooks_releases.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as st
 
 from martenstep.hooks import files
-from martenstep.hooks.releases import Release, Shelf, choose
+from martenstep.hooks.release import Release
+from martenstep.hooks.releases import Shelf, choose
 from martenstep.hooks.runner import ALONE_MS, FAILURES, Limits, Runner
 from martenstep.hooks.vm import STEPS
 from tests.hook_rig import release, words
--- a/tests/test_hooks_runner.py
+++ b/tests/test_hooks_runner.py
@@ -9,7 +9,7 @@
 
 from martenstep.hooks import border
 from martenstep.hooks.code import Program, compile_source
-from martenstep.hooks.releases import Hook, Release
+from martenstep.hooks.release import Hook, Release
 from martenstep.hooks.runner import ALONE_MS, FAILURES, NOTES, WINDOW_MS, Runner
 from martenstep.hooks.vm import STEPS, HookError, Machine
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -302,6 +302,25 @@
         assert story((source, sink)).rules() == set(), (source, sink)
 
 
+def test_what_a_cut_held_is_not_sent_to_a_draining_server_after_the_notice() -> None:
+    """Grace 500 ms, slack 20."""
+    def story(at: float = 1000, since: float = 1050, to: float = 1900, sink: str = "server-1") -> Story:
+        made = Story()
+        made.told(1100, 1, "draining")
+        made.tried(at=at)
+        made.visit(1980, 1990, server=1)
+        made.got(1995)
+        for on, when in ((True, since), (False, to)):
+            made.events.append({"t": when, "what": "trouble", "name": "NET_CUT", "on": on, "targets": [],
+                                "ways": [("door-*", sink)]})
+        return made
+    assert story().rules() == set()
+    assert story(sink="server-2").rules() == {DRAINS}
+    assert story(at=1700).rules() == {DRAINS}  # it came to its door after the grace
+    assert story(since=1700).rules() == {DRAINS}  # so did the cut
+    assert story(to=1400).rules() == {DRAINS}  # healed long before
+
+
 def test_what_no_client_sent_is_told_and_counts_at_the_ceiling() -> None:
     for number, broken in ((1, {INVENTED}), (80, {INVENTED, CEILINGS})):
         story = sound()
