--- a/bench/light.py
+++ b/bench/light.py
@@ -9,12 +9,17 @@
 import sys
 import time
 
-ANSWER = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 1000\r\n\r\n" + b"x" * 1000
+
+def answer_of(size: int) -> bytes:
+    """A whole answer with so many bytes."""
+    return b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: %d\r\n\r\n" % size + b"x" * size
 
 
 class Server(asyncio.Protocol):
     """Answers each head at once."""
 
+    answer = answer_of(1000)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport, self._buffer = transport, b""
@@ -24,7 +29,7 @@
         count = self._buffer.count(b"\r\n\r\n")
         if count:
             self._buffer = self._buffer[self._buffer.rfind(b"\r\n\r\n") + 4:]
-            self._transport.write(ANSWER * count)
+            self._transport.write(self.answer * count)
 
 
 class Verdicts(Server):
@@ -129,6 +134,7 @@
     serving = kinds.add_parser("serve")
     serving.add_argument("--count", type=int, default=14)
     serving.add_argument("--kind", choices=["server", "verdicts", "kept"], default="server")
+    serving.add_argument("--bytes", type=int, default=1000, help="of an answer")
     loads = kinds.add_parser("load")
     loads.add_argument("--port", type=int, required=True)
     loads.add_argument("--connections", type=int, default=48)
@@ -138,6 +144,7 @@
     loads.add_argument("--seed", type=int, default=1)
     words = parser.parse_args()
     if words.what == "serve":
+        Server.answer = answer_of(words.bytes)
         asyncio.run(serve(words.count, {"server": Server, "verdicts": Verdicts, "kept": Kept}[words.kind]))
     else:
         asyncio.run(load(words))
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -76,11 +76,11 @@
 
 
 @contextlib.contextmanager
-def backends(count: int) -> Iterator[tuple[list[int], int, int]]:
+def backends(count: int, size: int = 1000) -> Iterator[tuple[list[int], int, int]]:
     """Light servers, a feed that lists them, a Redis stand-in; gives their ports."""
     made: list[subprocess.Popen[str]] = []
     try:
-        servers, ports = start(SERVERS, "-m", "bench.light", "serve", "--count", str(count))
+        servers, ports = start(SERVERS, "-m", "bench.light", "serve", "--count", str(count), "--bytes", str(size))
         made.append(servers)
         services = []
         for kind in ("verdicts", "kept"):
@@ -104,7 +104,8 @@
             process.wait()
 
 
-def subject(kind: str, ports: list[int], feed: int, store: int, folder: Path, other: Path | None) -> Started:
+def subject(kind: str, ports: list[int], feed: int, store: int, folder: Path,
+            other: Path | None = None) -> Started:
     """Start what is measured; a kind that begins with "other " is of another checkout."""
     if "pass-through" in kind:
         module = "bench.passthrough_llhttp" if "llhttp" in kind else "bench.passthrough"
@@ -164,6 +165,7 @@
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=4.0)
     parser.add_argument("--servers", type=int, nargs="+", default=[14])
+    parser.add_argument("--bytes", type=int, default=1000, help="of an answer")
     parser.add_argument("--rate", type=float, default=250.0, help="of each of two loads, for the added time")
     parser.add_argument("--kinds", nargs="+", default=[
         "pass-through", "door, no quota", "door, quota", "door, quota, store", "door, quota, store, uvloop"])
@@ -172,7 +174,7 @@
     for count in words.servers:
         found: dict[str, list[dict[str, Any]]] = {kind: [] for kind in words.kinds}
         slow: dict[str, list[dict[str, Any]]] = {kind: [] for kind in words.kinds}
-        with backends(count) as (ports, feed, store), tempfile.TemporaryDirectory() as folder:
+        with backends(count, words.bytes) as (ports, feed, store), tempfile.TemporaryDirectory() as folder:
             for _ in range(words.rounds):
                 for kind in words.kinds:
                     process, told = subject(kind, ports, feed, store, Path(folder), words.other)
--- a/martenstep/door/wire/bodies.py
+++ b/martenstep/door/wire/bodies.py
@@ -17,27 +17,27 @@
 class Sized:
     """A body of a known length."""
 
-    __slots__ = ("_left",)
+    __slots__ = ("left",)
 
     def __init__(self, length: int) -> None:
-        self._left = length
+        self.left = length  # bytes that are still to come
 
     @property
     def whole(self) -> bool:
         """Whether its last byte has come."""
-        return self._left == 0
+        return self.left == 0
 
     def take(self, data: bytearray) -> Iterator[bytes]:
         """Its bytes, taken off the front."""
-        if data and self._left:
-            part = bytes(data[: self._left])
+        if data and self.left:
+            part = bytes(data[: self.left])
             del data[: len(part)]
-            self._left -= len(part)
+            self.left -= len(part)
             yield part
 
     def end(self) -> None:
         """The connection is at its end."""
-        if self._left:
+        if self.left:
             raise Fault(400, "body broke off")
 
 
--- a/martenstep/door/wire/readers.py
+++ b/martenstep/door/wire/readers.py
@@ -40,6 +40,7 @@
     def __init__(self, head_bytes: int) -> None:
         self._bound = head_bytes
         self._data = bytearray()
+        self._direct = b""  # bytes of a sized body as they came, not copied; what is behind them is in the buffer
         self._seen = 0  # of the head: looked through for its end
         self._ended = False
         self._body: Body | None = None
@@ -47,10 +48,14 @@
 
     def feed(self, data: bytes) -> None:
         """Bytes of the connection; none: its end."""
-        if data:
-            self._data += data
-        else:
+        if not data:
             self._ended = True
+        elif isinstance(self._body, Sized) and not self._data and not self._direct:
+            self._direct, rest = (data, b"") if len(data) <= self._body.left else (
+                data[: self._body.left], data[self._body.left:])
+            self._data += rest
+        else:
+            self._data += data
 
     @property
     def rest(self) -> int:
@@ -87,6 +92,11 @@
     def _next_of_body(self) -> Data | End | None:
         body = self._body
         assert body is not None
+        if self._direct:
+            part, self._direct = self._direct, b""
+            assert isinstance(body, Sized)
+            body.left -= len(part)
+            return Data(part)
         for part in body.take(self._data):
             return Data(part)
         if not body.whole and self._ended:
--- a/tests/test_sweep.py
+++ b/tests/test_sweep.py
@@ -13,14 +13,16 @@
 from click.testing import CliRunner
 from google.protobuf import text_format
 
+from martenstep import decide
 from martenstep.cli.main import cli
 from martenstep.config.text import Faults
 from martenstep.lab import day_pb2 as pb
 from martenstep.lab import plan_pb2
 from martenstep.lab.day import parse_day
-from martenstep.lab.emulate.doors import EmuDoor
+from martenstep.lab.emulate.doors import Connection, EmuDoor
 from martenstep.lab.experiment import sweep
-from martenstep.lab.rules import ANSWERED, CEILINGS
+from martenstep.lab.rules import ANSWERED, CEILINGS, CHECKED, COLD, DOUBLE, DRAINS, INVENTED
+from martenstep.standins.photo import Fall
 
 ROOT = Path(__file__).resolve().parent.parent
 SMALL = 'name: "small" days: 6 doors_most: 4 tries_most: 60 troubles_most: 2'
@@ -78,13 +80,40 @@
     assert f"{len(broken)} of them broke a rule; answered: {len(broken)}" in told
 
 
-def test_a_ceiling_that_nobody_keeps_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    from martenstep import decide
-    monkeypatch.setattr(decide.Ledger, "book", lambda self, now, units: decide.Meter(1.0, 1.0, now))
-    monkeypatch.setattr(decide.Meter, "wait", lambda self, now, units: 0.0)
-    made = plan('name: "ceilings" doors_most: 4 tries_most: 300 troubles_most: 0')
-    found = next(row for number in range(30) if (row := sweep.one(made.SerializeToString(), number))["broken"])
-    assert CEILINGS in found["broken"] and "beyond both" in found["told"]
+def _flawed(rule: str, patch: pytest.MonkeyPatch) -> str:
+    """Break a rule in the program or the models on purpose; gives the troubles that may show it."""
+    if rule == CEILINGS:
+        patch.setattr(decide.Ledger, "book", lambda self, now, units: decide.Meter(1.0, 1.0, now))
+        patch.setattr(decide.Meter, "wait", lambda self, now, units: 0.0)
+        return "troubles_most: 0"
+    if rule == DOUBLE:
+        patch.setattr(decide.Gateway, "_allowed", lambda self, now, job: None)
+        return "trouble: SERVER_RESETS"
+    if rule == DRAINS:
+        told = EmuDoor.told
+        patch.setattr(EmuDoor, "told", lambda self, body: told(self, body.replace(b'"draining"', b'"up"')))
+        return "trouble: SERVER_DRAINED"
+    if rule == COLD:
+        offer = Fall.offer
+        patch.setattr(Fall, "offer", lambda self, now, ms, age: offer(self, now, ms * 100, age))
+        return "trouble: SERVER_RESTARTED"
+    if rule == INVENTED:
+        came = Connection.came
+        patch.setattr(Connection, "came", lambda self, told, *more: came(
+            self, {**told, "rid": told["rid"] + "x"}, *more))
+        return "troubles_most: 0"
+    verdict = EmuDoor._verdict
+    patch.setattr(EmuDoor, "_verdict", lambda self, action, status, headers, body: verdict(
+        self, action, 200, [(b"x-auth-customer", b"p0-0-0"), (b"x-auth-plan", b"p0")], b""))
+    return "troubles_most: 0"
+
+
+@pytest.mark.parametrize("rule", [CEILINGS, DOUBLE, DRAINS, COLD, INVENTED, CHECKED])
+def test_a_flaw_of_each_rule_is_found_in_few_days(rule: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    more = _flawed(rule, monkeypatch)
+    made = plan(f'name: "flaw" doors_most: 4 tries_most: 300 {more}').SerializeToString()
+    found = next(row for number in range(60) if rule in (row := sweep.one(made, number))["broken"])
+    assert found["told"] and (rule != CEILINGS or "beyond both" in found["told"])
 
 
 def test_a_day_that_brings_the_program_down_is_a_broken_one() -> None:
