--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -26,6 +26,7 @@
 from martenstep.door.http import STATUS, header, only_ours, overlaid, own_answer, rate_limit, reason_header, waits
 from martenstep.door.points import Points, encoded
 from martenstep.door.routes import Guarded, Routed, Routes, Unroutable
+from martenstep.door.stages.outgoing import Outgoing
 from martenstep.door.targets import Declined, Targets
 from martenstep.door.traces import Sampler, Trace
 from martenstep.door.verdicts import StatusTable, of_ending, of_stop
@@ -101,11 +102,8 @@
         upstream, listener = door.upstream, door.listener
         self._status = StatusTable(upstream.refusal_status, upstream.refusal_header,
                                    frozenset(upstream.error_status or ERROR_STATUS))
-        self._via = f"1.1 {door.name}".encode()
         self._name = door.name
         self._id_header = listener.request_id_header.lower().encode()
-        self._attempt_header = upstream.attempt_header.lower().encode()
-        self._key_header = upstream.key_header.lower().encode()
         self._deadline_header = listener.deadline_header.lower().encode()
         self._margin, self._max_open = listener.answer_margin_ms, listener.max_open
         self._connect_ms, self._cancel = upstream.connect_ms, upstream.cancel
@@ -128,6 +126,7 @@
                                                     told.plan_header.lower().encode())
             # What only the service may say: a client that says it itself is not heard.
             self._auth_only = self._auth_copies | {self._auth_customer, self._auth_plan}
+        self._wording = Outgoing(door, self._auth_only if self._auth else (), self._auth_copies if self._auth else ())
         # Asked by an edge proxy: what the module sends on goes to the proxy itself, the one server there is.
         self._answerer = Answerer(door.forward_auth) if door.HasField("forward_auth") else None
         if self._answerer is not None:
@@ -210,7 +209,7 @@
         secret = set(self._credentials) if self._auth is not None else set()
         if door.HasField("forward_auth"):
             secret.add(door.forward_auth.secret_header.lower().encode())
-        kept = {self._id_header, self._attempt_header, self._key_header, self._deadline_header, *named}
+        kept = {*self._wording.own, *named}
         if self._auth is not None:
             kept |= self._auth_only
         return Points(door, self._routes, secret - {b""}, kept, self._epoch_ms)
@@ -279,32 +278,20 @@
             self._tell(api.Outcome(action.id, number, action.server, Verdict.MOOT, 0.0, exchange.settled))
             return
         head = exchange.head
-        headers = only_ours(head.headers)
-        replaced = {self._id_header, self._attempt_header, self._deadline_header}
-        headers = [pair for pair in headers if pair[0] not in replaced]
-        if self._auth is not None:
-            # Some servers read x_auth_customer as x-auth-customer.
-            headers = [pair for pair in headers if pair[0].replace(b"_", b"-") not in self._auth_only]
-        if exchange.verdict is not None:
-            headers += [pair for pair in exchange.verdict.headers if pair[0] in self._auth_copies]
+        wording, verdict = self._wording, exchange.verdict
+        copied = wording.copied(list(verdict.headers)) if verdict is not None else []
         left = max(exchange.deadline - self._now, 0.0)
-        target = head.target
+        target, given = head.target, NO_HEADERS
         if exchange.runner is not None and exchange.runner.has("sending"):
             assert self._points is not None
             if exchange.sending is None:
                 exchange.sending = self._points.sending(self._now, exchange.runner, exchange)
             target, given = exchange.sending
-            headers = overlaid(headers, given)
-        headers += [*self._signed(exchange.label), (self._attempt_header, b"%d" % number),
-                    (self._deadline_header, f"{left:.0f}".encode())]
+        parent = b""
         if trace is not None:
-            span = trace.begin("attempt", self._now, attempt=number, server=action.server)
-            headers = [pair for pair in headers if pair[0] != b"traceparent"]
-            headers.append((b"traceparent", trace.outgoing(span)))
-        if head.peer:
-            headers.append((b"x-forwarded-for", head.peer.encode()))
-        if exchange.routed.cls.effect is api.Effect.KEYED and header(headers, self._key_header) is None:
-            headers.append((self._key_header, f"{self._name}-{exchange.rid}".encode()))
+            parent = trace.outgoing(trace.begin("attempt", self._now, attempt=number, server=action.server))
+        headers = wording.headers(head.headers, copied, given, exchange.label, exchange.rid, number, left, head.peer,
+                                  parent, exchange.routed.cls.effect is api.Effect.KEYED)
         self._timer(min(self._now + self._connect_ms, exchange.deadline), self._unconnected, exchange.ticket, number)
         self._out.append(ev.Open(exchange.ticket, number, action.server, address, head.method, target, headers))
 
@@ -315,7 +302,7 @@
         routed = exchange.routed
         headers: ev.Headers = [(b"content-length", b"0"), *self._limits(routed),
                                (b"x-customer", routed.key.encode("latin-1", "replace")),
-                               (b"x-plan", routed.plan.name.encode()), *self._signed(exchange.label)]
+                               (b"x-plan", routed.plan.name.encode()), *self._wording.signed(exchange.label)]
         self._settle(exchange, 200, "let pass", None)
         self._out.append(ev.Reply(exchange.ticket, 200, headers, b""))
         self._forget(exchange)
@@ -367,10 +354,6 @@
         full = 0.0 if room is None else max(plan.burst - room, 0.0) / plan.rate * 1000.0
         return rate_limit(plan, room, full)
 
-    def _signed(self, label: str) -> ev.Headers:
-        """What every message of the door carries: the request's id, and who passed it on."""
-        return [(self._id_header, label.encode("latin-1", "replace")), (b"via", self._via)]
-
     def _answer(self, exchange: Exchange, status: int, reason: str, wait: float | None) -> None:
         """A final answer of the door's own."""
         headers, body = own_answer(reason, exchange.label, wait)
@@ -383,7 +366,7 @@
                 body = words.body
                 headers = [(b"content-type", words.content_type.encode()), reason_header(reason), *waits(wait),
                            (b"content-length", str(len(body)).encode()), *encoded(words.headers)]
-        headers += [*self._limits(exchange.routed), *self._signed(exchange.label)]
+        headers += [*self._limits(exchange.routed), *self._wording.signed(exchange.label)]
         self._settle(exchange, status, reason, wait)
         self._out.append(ev.Reply(exchange.ticket, status, headers, body))
         self._forget(exchange)
@@ -567,7 +550,7 @@
             self._tell(api.Left(exchange.rid))
         headers = [pair for pair in answer.headers if pair[0] in DENY_HEADERS]
         headers += [(b"content-length", str(len(answer.body)).encode()), (b"x-reason", b"denied"),
-                    *self._signed(exchange.label)]
+                    *self._wording.signed(exchange.label)]
         self._settle(exchange, answer.status, "denied", None)
         self._out.append(ev.Reply(exchange.ticket, answer.status, headers, answer.body))
         self._forget(exchange)
@@ -588,7 +571,7 @@
                    more: ev.Headers = NO_HEADERS) -> None:
         """Answer what never reaches the module."""
         headers, body = own_answer(reason, label, wait) if status != NO_CONTENT else ([], b"")
-        headers += [*more, *self._signed(label)]
+        headers += [*more, *self._wording.signed(label)]
         self._out.append(ev.Note("turned away", {"request": label, "status": status, "reason": reason}))
         self._out.append(ev.Reply(event.ticket, status, headers, body))
 
@@ -646,7 +629,7 @@
             headers = overlaid(headers, self._points.answer(
                 self._now, runner, exchange, attempt.status, len(exchange.servers), self._now - exchange.arrived,
                 headers))
-        headers += [*self._limits(exchange.routed), *self._signed(exchange.label)]
+        headers += [*self._limits(exchange.routed), *self._wording.signed(exchange.label)]
         self._out.append(ev.Pass(exchange.ticket, attempt.number, attempt.status, headers, whole))
 
     def _answer_begun(self, event: ev.AnswerBegun) -> None:
--- /dev/null
+++ b/martenstep/door/stages/outgoing.py
@@ -0,0 +1,63 @@
+"""The stage that words a request for a server: which of the client's headers go on, and what the door adds."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from martenstep.config import door_pb2 as pb
+from martenstep.door.events import Headers
+from martenstep.door.http import DROPPED, header, overlaid
+
+NOTHING: frozenset[bytes] = frozenset()
+
+
+class Outgoing:
+    """The wording of one door."""
+
+    def __init__(self, door: pb.Door, auth_only: Collection[bytes], auth_copies: Collection[bytes]) -> None:
+        """`auth_only`: headers that only an authentication service may say; `auth_copies`: of its answer, those that
+        servers are told."""
+        upstream, listener = door.upstream, door.listener
+        self._via = f"1.1 {door.name}".encode()
+        self._name = door.name
+        self._id = listener.request_id_header.lower().encode()
+        self._attempt = upstream.attempt_header.lower().encode()
+        self._key = upstream.key_header.lower().encode()
+        self._deadline = listener.deadline_header.lower().encode()
+        self._drop = DROPPED | {self._id, self._attempt, self._deadline}
+        self.own = (self._id, self._attempt, self._key, self._deadline)  # headers that are the door's to word
+        self._auth_only, self._auth_copies = frozenset(auth_only), frozenset(auth_copies)
+
+    def signed(self, label: str) -> Headers:
+        """What every message of the door carries: the request's id, and who passed it on."""
+        return [(self._id, label.encode("latin-1", "replace")), (b"via", self._via)]
+
+    def kept(self, headers: Headers) -> Headers:
+        """Of the client's headers those that go on: end to end, and none that the door or a service says itself."""
+        drop = self._drop
+        named = [value for name, value in headers if name == b"connection"]
+        if named:
+            drop = drop | {part.strip().lower() for value in named for part in value.split(b",")}
+        if not self._auth_only:
+            return [pair for pair in headers if pair[0] not in drop]
+        # Some servers read x_auth_customer as x-auth-customer.
+        return [pair for pair in headers if pair[0] not in drop
+                and pair[0].replace(b"_", b"-") not in self._auth_only]
+
+    def copied(self, headers: Headers) -> Headers:
+        """Of a service's answer what servers are told."""
+        return [pair for pair in headers if pair[0] in self._auth_copies]
+
+    def headers(self, client: Headers, more: Headers, given: Headers, label: str, rid: str, attempt: int,
+                left_ms: float, peer: str, traceparent: bytes, keyed: bool) -> Headers:
+        """An attempt's headers: the client's, a service's (`more`), a hook's (`given`), and the door's own."""
+        made = overlaid(self.kept(client) + more, given)
+        made += [*self.signed(label), (self._attempt, b"%d" % attempt), (self._deadline, f"{left_ms:.0f}".encode())]
+        if traceparent:
+            made = [pair for pair in made if pair[0] != b"traceparent"]
+            made.append((b"traceparent", traceparent))
+        if peer:
+            made.append((b"x-forwarded-for", peer.encode()))
+        if keyed and header(made, self._key) is None:
+            made.append((self._key, f"{self._name}-{rid}".encode()))
+        return made
