A keyed repeat is not delivered once servers have forgotten its key

Change: an attempt that repeats one which may have run tells by when it must be delivered, and the driver has the kernel break the connection where what is written is not acknowledged by then (TCP_USER_TIMEOUT, RFC 5482). The emulator does the same.

--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -583,6 +583,11 @@
         if not upstream.sound:
             self._failed(flight, Ending.NOT_WRITTEN)
             return
+        left = action.by - now_ms() if action.by is not None else None
+        if left is not None and left <= 0:
+            self._failed(flight, Ending.NOT_WRITTEN)
+            return
+        upstream.deliver_within(left)
         upstream.reader.sink = lambda data: self._came(flight, upstream, data)
         try:
             more = self._write(flight, action, upstream)
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -64,7 +64,7 @@
     """One client request, from its head to the end of its last attempt."""
 
     __slots__ = ("arrived", "attempt", "credential", "deadline", "edition", "guarded", "head", "label", "one_attempt",
-                 "rid", "routed", "runner", "sending", "servers", "settled",
+                 "rid", "risk_at", "routed", "runner", "sending", "servers", "settled",
                  "shown", "shown_as", "ticket", "timed_out", "told", "trace",
                  "verdict")
 
@@ -82,6 +82,7 @@
         self.told = False  # the module knows of it
         self.trace: Trace | None = None
         self.one_attempt = False  # its body cannot be written again
+        self.risk_at: float | None = None  # the first attempt that may have run was sent
         self.edition: Edition = EMPTY  # the hooks that act at its begin
         self.runner: Runner | None = None  # those of them that are its customer's
         self.shown: tuple[Any, ...] | None = None  # the record that hooks are given,
@@ -293,7 +294,15 @@
         headers = wording.headers(head.headers, copied, given, exchange.label, exchange.rid, number, left, head.peer,
                                   parent, exchange.routed.cls.effect is api.Effect.KEYED)
         self._timer(min(self._now + self._connect_ms, exchange.deadline), self._unconnected, exchange.ticket, number)
-        self._out.append(ev.Open(exchange.ticket, number, action.server, address, head.method, target, headers))
+        self._out.append(ev.Open(exchange.ticket, number, action.server, address, head.method, target, headers,
+                                 self._deliver_by(exchange)))
+
+    @staticmethod
+    def _deliver_by(exchange: Exchange) -> float | None:
+        """A repeat of a keyed request must come to its server while servers still know its key: what the network holds
+        for longer is not to be delivered any more."""
+        cls, risk = exchange.routed.cls, exchange.risk_at
+        return risk + cls.window_ms if risk is not None and cls.effect is api.Effect.KEYED else None
 
     def _let_pass(self, exchange: Exchange, number: int, server: int) -> None:
         """The edge proxy may forward the request: that is the sub-request's answer, and the outcome that is owed.  How
@@ -314,6 +323,8 @@
         if exchange.trace is not None:
             exchange.trace.end("attempt", self._now, verdict=verdict.value, written=attempt.written)
         rtt = self._now - attempt.sent_at
+        if exchange.risk_at is None and not verdict.never_ran:
+            exchange.risk_at = attempt.sent_at
         self._tell(api.Outcome(exchange.rid, attempt.number, attempt.server, verdict, rtt, ended))
 
     def _stop(self, exchange: Exchange, attempt: Attempt, wanted: Verdict) -> None:
--- a/martenstep/door/events.py
+++ b/martenstep/door/events.py
@@ -151,6 +151,7 @@
     method: bytes
     target: bytes
     headers: Headers
+    by: float | None = None  # not to be delivered later than this
 
 
 @dataclass(slots=True)
--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -140,19 +140,30 @@
 class Upstream:
     """One connection to a server."""
 
-    __slots__ = ("address", "idle_since", "paused", "reader", "wire", "writer")
+    __slots__ = ("_bounded", "address", "idle_since", "paused", "reader", "wire", "writer")
 
     def __init__(self, address: tuple[str, int], reader: WatchedReader, writer: asyncio.StreamWriter) -> None:
         self.address, self.reader, self.writer = address, reader, writer
         self.wire = Asking()
         self.idle_since = 0.0
         self.paused = False  # reading stands still for a slow client
+        self._bounded = False
 
     @property
     def sound(self) -> bool:
         """Whether an idle connection may be written to: its end has not come, and nothing unasked."""
         return not self.reader.touched and not self.writer.transport.is_closing()
 
+    def deliver_within(self, ms: float | None) -> None:
+        """The kernel breaks the connection where what is written next is not acknowledged in so many ms (RFC 5482);
+        none: as usual."""
+        if ms is None and not self._bounded:
+            return
+        self._bounded = ms is not None
+        with suppress(OSError):  # it has ended already
+            self.writer.get_extra_info("socket").setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(int(ms), 1) if ms is not None else 0)
+
     def abort(self) -> None:
         """Close at once, with a reset (Pool.dial): what is still buffered, here or in the kernel, reaches nobody."""
         self.writer.transport.abort()
--- a/martenstep/lab/emulate/doors.py
+++ b/martenstep/lab/emulate/doors.py
@@ -49,19 +49,21 @@
 class Connection:
     """One connection from a door to a server, both ends of it."""
 
-    __slots__ = ("_door", "attempt", "back", "ended", "forth", "job", "server", "ticket", "up")
+    __slots__ = ("_door", "attempt", "back", "ended", "forth", "job", "reached", "server", "ticket", "up")
 
     def __init__(self, door: EmuDoor, server: EmuServer, forth: Pipe, back: Pipe) -> None:
         self._door, self.server, self.forth, self.back = door, server, forth, back
         self.ticket = self.attempt = -1  # of the attempt that it carries
         self.job: Job | None = None
         self.up = False
+        self.reached = True  # what was written last has come to the server
         self.ended = False  # at the server's end
 
     # At the server's end --------------------------------------------------------------------------------
 
     def came(self, told: dict[str, Any], cls: str, key: str, customer: str) -> None:
         """A request has come over it."""
+        self.reached = True
         if not self.ended:
             self.job = self.server.arrive(self, told, cls, key, customer)
 
@@ -273,7 +275,18 @@
         cls = action.target.decode("latin-1").split("/")[1]
         key = (header(headers, b"idempotency-key") or b"").decode()
         customer = (header(headers, b"x-auth-customer") or header(headers, b"x-customer") or b"").decode()
+        connection.reached = False
         connection.forth.send(connection.came, told, cls, key, customer)
+        if action.by is not None:
+            self._sim.at(action.by, self._undelivered, connection, action)
+
+    def _undelivered(self, connection: Connection, action: ev.Open) -> None:
+        """The kernel breaks a connection whose bytes were not acknowledged in their time."""
+        same = self._out.get(action.ticket) is connection and connection.attempt == action.attempt
+        if same and not connection.reached and self.alive:
+            del self._out[action.ticket]
+            self._drop(connection)
+            self.act(ev.AttemptEnded(action.ticket, action.attempt, Ending.CLOSED))
 
     def _abandon(self, action: ev.Abandon) -> None:
         connection = self._out.pop(action.ticket, None)
--- a/tests/test_emulate.py
+++ b/tests/test_emulate.py
@@ -322,6 +322,18 @@
     assert judged(day, World(day).play())["kept"]
 
 
+def test_a_keyed_repeat_that_a_cut_holds_past_its_window_reaches_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A sweep found it: servers had forgotten the key by then, and would have run it a second time."""
+    def day() -> pb.Day:
+        keyed = SMALL.replace("effect: UNSAFE", "effect: KEYED window_ms: 250").replace("share: 0.2", "share: 2")
+        cuts = "".join(f"event {{ at_ms: {at} for_ms: 300 trouble: NET_CUT source: 'door-*' sink: 'server-*' }} "
+                       for at in range(600, 4800, 400))
+        return parse_day(keyed + cuts + "event { at_ms: 500 trouble: SERVER_RESETS count: 4 share: 0.6 }", "day")
+    assert judged(day(), World(day()).play())["kept"]
+    monkeypatch.setattr(EmuDoor, "_undelivered", lambda self, connection, action: None)
+    assert not judged(day(), World(day()).play())["rules"]["no effect twice"]["kept"]
+
+
 def test_the_request_that_pushes_a_server_over_ends_there() -> None:
     """Else its next attempt elsewhere would look like a second one at once."""
     day = small("event { at_ms: 500 trouble: SERVER_RESTARTED for_ms: 500 count: 3 }")
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from martenstep.door.wires import Pool
 from tests.socket_rig import Peer, get, house, run
 
 
@@ -589,6 +590,23 @@
     run(test())
 
 
+def test_the_kernel_is_told_how_long_a_repeat_may_be_on_its_way() -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
+        address = ("127.0.0.1", int(server.sockets[0].getsockname()[1]))
+        pool = Pool(1, 1000.0, lambda where, why: None)
+        assert pool.reserve(address)
+        upstream = await pool.dial(address)
+        sock = upstream.writer.get_extra_info("socket")
+        for within, told in ((250.4, 250), (0.2, 1), (None, 0)):
+            upstream.deliver_within(within)
+            assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == told
+        pool.drop(upstream)
+        server.close()
+    run(test())
+
+
 KILLED = """
 import asyncio, sys
 from martenstep.door.wires import Pool
