A customer's ledger has slots: the same decisions, 0.7 KB less for each

Need: with the cap a ledger had 31 fields, past what the interpreter shares between objects: 1,747 bytes a customer in place of 936.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -126,6 +126,11 @@
 class Ledger:
     """What this gateway knows of one customer's use."""
 
+    __slots__ = ("asked", "base", "cap", "conform", "counted", "customer", "flushing", "guessed", "head",
+                 "last_base", "maybe", "mine", "open", "others", "owed", "own", "pending", "period",
+                 "period_ms", "phase", "plan", "quota", "seen", "since", "spread", "stranger", "told",
+                 "turned", "unclosed", "used", "waiting")
+
     def __init__(self, plan: Plan, request: Request, settings: Settings, now: float, started: float) -> None:
         self.plan, self.customer = plan, request.customer
         self.spread = spread = max(1, min(request.spread, settings.gateways))
