--- a/bench/passthrough.py
+++ b/bench/passthrough.py
@@ -6,7 +6,7 @@
 import itertools
 import json
 import sys
-from typing import Any
+from typing import Any, Protocol
 
 import h11
 
@@ -14,6 +14,13 @@
 Wire = tuple[asyncio.StreamReader, asyncio.StreamWriter, h11.Connection]
 
 
+class Proxy(Protocol):
+    """What serves a client connection."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One connection."""
+
+
 class PassThrough:
     """One proxy process."""
 
@@ -71,14 +78,13 @@
         return h11.Response(status_code=head.status_code, headers=list(head.headers)), answer
 
 
-async def main() -> None:
-    """`python -m bench.passthrough '[ports]'`; tells its own."""
-    proxy = PassThrough(json.loads(sys.argv[1]))
+async def main(proxy: Proxy) -> None:
+    """Serve on any port, and tell which."""
     server = await asyncio.start_server(proxy.serve, "127.0.0.1", 0, backlog=1024)
     sys.stdout.write(json.dumps({"ready": {"listener": server.sockets[0].getsockname()[1]}}) + "\n")
     sys.stdout.flush()
     await asyncio.Event().wait()
 
 
-if __name__ == "__main__":
-    asyncio.run(main())
+if __name__ == "__main__":  # python -m bench.passthrough '[ports]'
+    asyncio.run(main(PassThrough(json.loads(sys.argv[1]))))
--- a/bench/passthrough_llhttp.py
+++ b/bench/passthrough_llhttp.py
@@ -9,6 +9,8 @@
 
 import httptools
 
+from bench.passthrough import main
+
 READ = 65536
 
 
@@ -81,14 +83,5 @@
     return b"".join([b"%b: %b\r\n" % pair for pair in parts.headers])
 
 
-async def main() -> None:
-    """`python -m bench.passthrough_llhttp '[ports]'`; tells its own."""
-    proxy = PassThrough(json.loads(sys.argv[1]))
-    server = await asyncio.start_server(proxy.serve, "127.0.0.1", 0, backlog=1024)
-    sys.stdout.write(json.dumps({"ready": {"listener": server.sockets[0].getsockname()[1]}}) + "\n")
-    sys.stdout.flush()
-    await asyncio.Event().wait()
-
-
-if __name__ == "__main__":
-    asyncio.run(main())
+if __name__ == "__main__":  # python -m bench.passthrough_llhttp '[ports]'
+    asyncio.run(main(PassThrough(json.loads(sys.argv[1]))))
