--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -712,10 +712,10 @@
                 client.writer.write(client.wire.end())
             except UnwritableError:
                 client.abort()
-        if upstream.wire.written and not upstream.paused:
-            self.pool.put(upstream)
+        if upstream.paused:
+            self.pool.drop(upstream)
         else:
-            self.pool.drop(upstream)  # an early answer: the rest of the body is not written
+            self.pool.put(upstream)  # dropped there too, after an early answer: the rest of the body is not written
         self.act(ev.AnswerWhole(flight.ticket, flight.number))
         if passing:
             flight.finish()
--- a/martenstep/door/http.py
+++ b/martenstep/door/http.py
@@ -51,14 +51,15 @@
 SECOND_MS = 1000.0
 
 
+def without_named(headers: Headers, drop: frozenset[bytes]) -> frozenset[bytes]:
+    """Names to drop, and with them those that the message itself names as of its connection."""
+    named = [value for name, value in headers if name == b"connection"]
+    return drop | {part.strip().lower() for value in named for part in value.split(b",")} if named else drop
+
+
 def only_ours(headers: Headers) -> Headers:
     """The end-to-end headers of a message: without those of its connection, and those that it names so."""
-    named: set[bytes] | None = None
-    for name, value in headers:
-        if name == b"connection":
-            named = named or set()
-            named.update(part.strip().lower() for part in value.split(b","))
-    drop = DROPPED | named if named else DROPPED
+    drop = without_named(headers, DROPPED)
     return [pair for pair in headers if pair[0] not in drop]
 
 
--- a/martenstep/door/stages/outgoing.py
+++ b/martenstep/door/stages/outgoing.py
@@ -6,9 +6,7 @@
 
 from martenstep.config import door_pb2 as pb
 from martenstep.door.events import Headers
-from martenstep.door.http import DROPPED, header, overlaid
-
-NOTHING: frozenset[bytes] = frozenset()
+from martenstep.door.http import DROPPED, header, overlaid, without_named
 
 
 class Outgoing:
@@ -34,10 +32,7 @@
 
     def kept(self, headers: Headers) -> Headers:
         """Of the client's headers those that go on: end to end, and none that the door or a service says itself."""
-        drop = self._drop
-        named = [value for name, value in headers if name == b"connection"]
-        if named:
-            drop = drop | {part.strip().lower() for value in named for part in value.split(b",")}
+        drop = without_named(headers, self._drop)
         if not self._auth_only:
             return [pair for pair in headers if pair[0] not in drop]
         # Some servers read x_auth_customer as x-auth-customer.
--- a/martenstep/lab/experiment/run.py
+++ b/martenstep/lab/experiment/run.py
@@ -84,7 +84,7 @@
     return row["arm"], row["repetition"]
 
 
-def _kept(journal: Path, head: Row) -> list[Row]:
+def kept_rows(journal: Path, head: Row) -> list[Row]:
     """Rows that an earlier run of the same plan and code has left; raises RunError where they are another's."""
     if not journal.exists():
         return []
@@ -114,7 +114,7 @@
                  "sockets": sockets}
     workers = 1 if sockets else workers
     journal = out / JOURNAL
-    rows = _kept(journal, head)
+    rows = kept_rows(journal, head)
     done = {_key(row) for row in rows}
     left = [run for run in runs if (run.arm.name, run.repetition) not in done]
     with journal.open("ab") as file:
--- a/martenstep/lab/experiment/sweep.py
+++ b/martenstep/lab/experiment/sweep.py
@@ -29,7 +29,7 @@
 from martenstep.lab.emulate.judged import emulate
 from martenstep.lab.emulate.world import NOT_HERE
 from martenstep.lab.experiment.pool import workers as made_workers
-from martenstep.lab.experiment.run import RunError, revision
+from martenstep.lab.experiment.run import kept_rows, revision
 from martenstep.lab.experiment.search import Found, event_of, shrink
 
 JOURNAL, SUMMARY = "days.jsonl", "summary.md"
@@ -213,21 +213,6 @@
     return text_format.MessageToString(smallest(drawn(plan_pb2.Sweep.FromString(plan), number), rules))
 
 
-def _kept(journal: Path, head: Row) -> list[Row]:
-    """Rows of an earlier run of the same plan and code; raises RunError where they are another's."""
-    rows = []
-    for number, line in enumerate(journal.read_bytes().splitlines() if journal.exists() else ()):
-        try:
-            row = json.loads(line)
-        except ValueError:
-            continue  # cut off by a kill
-        if number == 0 and row != head:
-            raise RunError(f"{journal.parent}: holds days of another plan or revision; take another folder")
-        if number:
-            rows.append(row)
-    return rows
-
-
 def _all(pool: ProcessPoolExecutor, plan: bytes, numbers: Iterator[int], ahead: int) -> Iterator[Row]:
     """Rows as they end, with a bounded number under way."""
     out: set[Future[Row]] = set()
@@ -246,7 +231,7 @@
     data = plan.SerializeToString(deterministic=True)
     head: Row = {"plan": data.hex(), "revision": revision()}
     out.mkdir(parents=True, exist_ok=True)
-    rows = _kept(out / JOURNAL, head)
+    rows = kept_rows(out / JOURNAL, head)
     done = {row["number"] for row in rows}
     left = [number for number in range(plan.days) if number not in done]
     begin = time.monotonic()
