--- a/martenstep/auth/answerer.py
+++ b/martenstep/auth/answerer.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from martenstep.auth.core import Unasked as Unasked
 from martenstep.config import door_pb2 as pb
 
 Headers = list[tuple[bytes, bytes]]
@@ -31,14 +32,6 @@
     target: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Unasked:
-    """Why a sub-request is turned away."""
-
-    status: int
-    reason: str
-
-
 class Answerer:
     """One proxy's way of asking."""
 
--- a/martenstep/auth/core.py
+++ b/martenstep/auth/core.py
@@ -31,6 +31,14 @@
 LEFT_LEAST_MS = 1.0  # of an ask's time below which no further attempt is made
 
 
+@dataclass(frozen=True, slots=True)
+class Unasked:
+    """Why a sub-request is turned away."""
+
+    status: int
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Rules:
     """Stated bounds; times in milliseconds."""
--- a/martenstep/door/daemon.py
+++ b/martenstep/door/daemon.py
@@ -15,9 +15,8 @@
 from martenstep.counter.client import CounterClient, Journal
 from martenstep.counter.shards import Shards
 from martenstep.door.admin import Admin, DoorCollector
-from martenstep.door.driver import Driver
-from martenstep.door.engine import Engine
 from martenstep.door.events import Counted, Tried
+from martenstep.door.fitting import driver_of, engine_of, parts_of
 from martenstep.door.log import Notes
 from martenstep.door.traces import Exporter
 from martenstep.door.wires import now_ms
@@ -60,9 +59,9 @@
             self._history = History(Path(told.history), door.name) if told.history else None
             self.shelf = Shelf(Limits(told.failure_share, told.mean_steps, told.least_runs), self._hooks_told,
                                withdrawn=self._withdrawn(), late=self._backstop.begin)
-        self.engine = Engine(door, random.SystemRandom().getrandbits(63) if seed is None else seed, self.shelf,
-                             time.time() * 1000 - now_ms())
-        self.driver = Driver(door, self.engine, self.notes.note)
+        self._seed = random.SystemRandom().getrandbits(63) if seed is None else seed
+        self.engine = engine_of(door, self._seed, self.shelf, time.time() * 1000 - now_ms())
+        self.driver = driver_of(door, self.engine, self.notes.note)
         self.ready = False
         self._store: RedisStore | None = None
         if door.HasField("store"):
@@ -138,7 +137,8 @@
             told = door.hooks
             self.shelf.limit(Limits(told.failure_share, told.mean_steps, told.least_runs))
             self._backstop.most_ms = told.backstop_ms
-        self.driver.reconfigure(door)
+        self.driver.reconfigure(door.listener, door.upstream)
+        self.engine.reconfigure(parts_of(door, self._seed, self.shelf, time.time() * 1000 - now_ms()))
 
     def renew(self) -> None:
         """Take up new hooks and certificates; requests and connections that stand keep theirs."""
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -17,16 +17,12 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from martenstep.config import door_pb2 as pb
-from martenstep.config.tls import ClientContext, ServerContext
 from martenstep.door import events as ev
-from martenstep.door.checks import Checks
 from martenstep.door.engine import Engine
 from martenstep.door.events import Ending
-from martenstep.door.http import own_answer
-from martenstep.door.traces import Trace
+from martenstep.door.parts import ListenerBounds, UpstreamBounds
 from martenstep.door.wire.answering import Answering
 from martenstep.door.wire.heads import AnswerHead, Fault, RequestHead
 from martenstep.door.wire.readers import Data, End
@@ -42,6 +38,11 @@
     now_ms,
 )
 
+if TYPE_CHECKING:  # loaded where the settings name them
+    from martenstep.config.tls import ClientContext, ServerContext
+    from martenstep.door.checks import Checks
+    from martenstep.door.traces import Trace
+
 SWEEP_MS = 250.0  # how often idle and stalled connections are looked for
 BACKLOG = 1024  # connections that wait to be accepted
 PASS_BYTES = 65536  # of an answer that a slow client has not taken yet, before its server is read no further
@@ -130,6 +131,7 @@
         self.since = now_ms()  # when it began to wait for a head
         self.partial = False  # a head has begun to come
         self.closing = False
+        self.spoken = False  # a whole request has come
         peer = writer.get_extra_info("peername")
         self.peer = str(peer[0]) if peer else ""
         protocol.on_lost = self._lost
@@ -184,7 +186,7 @@
 
     def plain(self, status: int, reason: str) -> None:
         """An answer of the door's own outside the engine; the connection ends after it."""
-        headers, body = own_answer(reason, "", None)
+        headers, body = self._driver.engine.worded(reason)
         self.closing = True
         self.answer(status, [*headers, (b"connection", b"close")], [body])
 
@@ -208,6 +210,9 @@
     async def _serve(self, request: RequestHead) -> None:
         """One request, to its final answer."""
         driver, headers, length = self._driver, request.headers, request.length
+        if not self.spoken:
+            self.spoken = True
+            driver.silent.pop(self, None)
         body: Body | None = None
         if length is not None and length > driver.listener.body_bytes:
             self.plain(413, "body too large")
@@ -217,6 +222,8 @@
             body = Body(driver.upstream.keep_body_bytes, length)
         else:
             self.wire.next()  # the end of a message without a body
+        if body is not None and driver.listener.whole_body and not await self._all_of(body):
+            return
         ticket = driver.ticket()
         flight = self.flight = Flight(ticket, self, body, driver.loop.create_future())
         driver.flights[ticket] = flight
@@ -234,9 +241,30 @@
             if flight.task is None and flight.upstream is None:
                 driver.flights.pop(ticket, None)
 
+    async def _all_of(self, body: Body) -> bool:
+        """Read a body to its end before anybody is told of its request; False where it ended too soon or grew too long.
+        The sweep minds how long it takes."""
+        word = self.wire.proceed()
+        if word:
+            self.writer.write(word)
+        self.partial = True
+        while not body.complete:
+            event = await self._event()
+            if isinstance(event, Data):
+                body.put(event.data)
+                if body.size > self._driver.listener.body_bytes:
+                    self.plain(413, "body too large")
+                    await self._linger()
+                    return False
+            elif isinstance(event, End):
+                body.complete = True
+            else:
+                return False
+        return not self.closing
+
     async def _next(self) -> bool:
         """Whether another request can follow on this connection."""
-        if self.closing or self._driver.stopping:
+        if self.closing or self._driver.stopping or self._driver.leaving:
             return False
         if self.wire.again():
             return True
@@ -297,16 +325,21 @@
 class Driver:
     """One door on sockets."""
 
-    def __init__(self, door: pb.Door, engine: Engine, note: Callable[[str, dict[str, Any]], None]) -> None:
-        self.listener, self.upstream = door.listener, door.upstream
+    def __init__(self, listener: ListenerBounds, upstream: UpstreamBounds, engine: Engine,
+                 note: Callable[[str, dict[str, Any]], None], tls: ServerContext | None = None,
+                 upstream_tls: ClientContext | None = None, server_name: str = "") -> None:
+        self.listener, self.upstream = listener, upstream
         self.engine, self._note = engine, note
         self.loop = asyncio.get_running_loop()
-        self.tls = ServerContext(self.listener.tls) if self.listener.HasField("tls") else None
-        self.client_tls = [ClientContext(self.upstream.tls)] if self.upstream.HasField("tls") else []
-        self.pool = Pool(self.upstream.connections, self.upstream.idle_ms, self.refused,
-                         self.client_tls[0].context if self.client_tls else None, self.upstream.tls.server_name)
+        self.tls = tls
+        self.client_tls = [upstream_tls] if upstream_tls is not None else []
+        self.pool = Pool(upstream.connections, upstream.idle_ms, self.refused,
+                         upstream_tls.context if upstream_tls is not None else None, server_name,
+                         upstream.all_connections)
         self.flights: dict[int, Flight] = {}
         self.clients: set[Client] = set()
+        self.silent: dict[Client, None] = {}  # of these, those that have sent no whole request, the oldest first
+        self.leaving = False  # serves what comes, and ends each connection with its answer
         self.stopping = False
         self.add: Callable[[int, int, float, float, bool], None] | None = None  # the store, where there is one
         self.record: Callable[[ev.Tried], None] | None = None  # the counter service, where there is one
@@ -322,21 +355,24 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
         self._resuming: set[asyncio.Task[None]] = set()
-        self._checks = Checks(self, door.auth)
-        self.client_tls += self._checks.tls
+        self._checks: Checks | None = None
         self._carry: dict[type, Callable[[Any], None]] = {
             ev.Open: self._open, ev.Abandon: self._abandon, ev.Pass: self._pass, ev.Reply: self._reply,
             ev.Break: self._break, ev.Add: self._add, ev.Tried: self._tried, ev.Listen: self._listen,
-            ev.Note: self._told, ev.Ask: self._checks.ask, ev.StopAsking: self._checks.stop,
-            ev.Traced: self._traced,
+            ev.Note: self._told, ev.Traced: self._traced,
         }
 
     # Life -----------------------------------------------------------------------------------------------
 
-    def reconfigure(self, door: pb.Door) -> None:
-        """Take up settings that differ only in what can change in service."""
-        self.listener, self.upstream = door.listener, door.upstream
-        self.engine.reconfigure(door)
+    def check_by(self, checks: Checks) -> None:
+        """Who carries checks to authentication services."""
+        self._checks = checks
+        self.client_tls += checks.tls
+        self._carry[ev.Ask], self._carry[ev.StopAsking] = checks.ask, checks.stop
+
+    def reconfigure(self, listener: ListenerBounds, upstream: UpstreamBounds) -> None:
+        """Take up bounds that differ only in what can change in service."""
+        self.listener, self.upstream = listener, upstream
 
     async def start(self, sock: socket.socket | None = None, reuse_port: bool = False) -> int:
         """Bind, or take a socket that is bound already, and accept; gives the port."""
@@ -358,8 +394,14 @@
         self.counts["handshakes_refused"] += 1
         self._note("handshake refused", {"peer": peer, "reason": reason})
 
-    async def stop(self, within_ms: float) -> bool:
-        """Accept no more, answer what is held, leave in a bounded time; True where all was answered by itself."""
+    async def stop(self, within_ms: float, leave_ms: float = 0.0) -> bool:
+        """Accept no more, answer what is held, leave in a bounded time; True where all was answered by itself.
+
+        For `leave_ms` before that it goes on accepting and serving, one answer a connection: what spreads the clients
+        takes so long to notice."""
+        self.leaving = True
+        if leave_ms:
+            await asyncio.sleep(leave_ms / 1000)
         self.stopping = True
         if self._server is not None:
             self._server.close()
@@ -382,7 +424,8 @@
             if flight.task is not None:
                 flight.task.cancel()
         self.pool.close()
-        self._checks.close()
+        if self._checks is not None:
+            self._checks.close()
         if self._due is not None:
             self._due.cancel()
         return clean
@@ -395,17 +438,33 @@
 
     def _connected(self, reader: WatchedReader, writer: asyncio.StreamWriter, protocol: WatchedProtocol) -> None:
         client = Client(self, reader, writer, protocol)
-        if len(self.clients) >= self.listener.max_connections or self.stopping:
+        full = len(self.clients) >= self.listener.max_connections
+        if self.stopping or (full and not self._make_room()):
             self.counts["connections_turned_away"] += 1
             client.plain(503, "full house")
             writer.close()
             return
         self.clients.add(client)
+        self.silent[client] = None
         task = self.loop.create_task(client.run())
         task.add_done_callback(lambda done: self._disconnected(client, done))
 
+    def _make_room(self) -> bool:
+        """Close the connection that has said nothing for longest: whoever opens hundreds and says nothing must not keep
+        out those who ask.  False where all have asked."""
+        longest = next(iter(self.silent), None)
+        if longest is None:
+            return False
+        self.counts["connections_turned_away"] += 1
+        del self.silent[longest]
+        self.clients.discard(longest)
+        longest.closing = True
+        longest.writer.close()
+        return True
+
     def _disconnected(self, client: Client, task: asyncio.Task[None]) -> None:
         self.clients.discard(client)
+        self.silent.pop(client, None)
         if not task.cancelled() and task.exception() is not None:
             self._note("fault", {"where": "client", "error": repr(task.exception())})
             client.abort()
@@ -415,7 +474,8 @@
             await asyncio.sleep(SWEEP_MS / 1000)
             now = now_ms()
             self.pool.sweep()
-            self._checks.pool.sweep()
+            if self._checks is not None:
+                self._checks.pool.sweep()
             for client in list(self.clients):
                 if client.flight is not None or client.closing:
                     continue
@@ -480,7 +540,7 @@
 
     def _ending(self, flight: Flight, headers: ev.Headers) -> ev.Headers:
         """The headers of an answer, after which the connection ends where the daemon stops or the body is not read."""
-        ends = self.stopping or (flight.body is not None and not flight.body.complete)
+        ends = self.stopping or self.leaving or (flight.body is not None and not flight.body.complete)
         return [*headers, (b"connection", b"close")] if ends else headers
 
     def refused(self, address: str, reason: str) -> None:
@@ -666,6 +726,9 @@
                 flight.progress = now_ms()
                 part = event.data
                 if not flight.passing:
+                    if 0 < self.upstream.answer_bytes < flight.held_bytes + len(part):
+                        self._failed(flight, Ending.BAD_ANSWER)
+                        return
                     flight.held.append(part)
                     flight.held_bytes += len(part)
                     if flight.held_bytes > self.upstream.hold_answer_bytes:
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -13,27 +13,24 @@
 import heapq
 import random
 from collections import OrderedDict, deque
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any
 
 from martenstep import interface as api
 from martenstep.auth import core as auth
-from martenstep.auth.answerer import Answerer, Unasked
-from martenstep.config import door_pb2 as pb
-from martenstep.config.settings import ERROR_STATUS, module_settings
 from martenstep.decide import Gateway
 from martenstep.door import events as ev
-from martenstep.door.http import STATUS, header, only_ours, overlaid, own_answer, rate_limit, reason_header, waits
-from martenstep.door.points import Points, encoded
-from martenstep.door.routes import Guarded, Routed, Routes, Unroutable
-from martenstep.door.stages.outgoing import Outgoing
-from martenstep.door.targets import Declined, Targets
-from martenstep.door.traces import Sampler, Trace
-from martenstep.door.verdicts import StatusTable, of_ending, of_stop
-from martenstep.hooks.releases import EMPTY, Edition, Shelf
-from martenstep.hooks.runner import Runner
+from martenstep.door.http import STATUS, encoded, header, overlaid, rate_limit, reason_header, waits
+from martenstep.door.parts import Guarded, Parts, Routed, Unroutable
+from martenstep.door.targets import Declined
+from martenstep.door.verdicts import of_ending, of_stop
 from martenstep.interface import Verdict
 
+if TYPE_CHECKING:  # a door without them does not load them: hooks, traces and sub-requests weigh more than the rest
+    from martenstep.door.traces import Trace
+    from martenstep.hooks.releases import Edition, Shelf
+    from martenstep.hooks.runner import Runner
+
 FULL_HOUSE_WAIT_MS = 1000.0  # retry-after where the door holds all it may: about the time a request takes
 COUNT_GRACE_MS = 1.0  # the store answers its time-outs itself; this long after them the engine does
 ID_BYTES = 200  # of a client's request id at most: longer ones are cut
@@ -83,7 +80,7 @@
         self.trace: Trace | None = None
         self.one_attempt = False  # its body cannot be written again
         self.risk_at: float | None = None  # the first attempt that may have run was sent
-        self.edition: Edition = EMPTY  # the hooks that act at its begin
+        self.edition: Edition | None = None  # the hooks that act at its begin
         self.runner: Runner | None = None  # those of them that are its customer's
         self.shown: tuple[Any, ...] | None = None  # the record that hooks are given,
         self.shown_as: Routed | None = None  # and what the request was then
@@ -94,47 +91,28 @@
 class Engine:
     """One door: the module's Gateway, its requests, its timers."""
 
-    def __init__(self, door: pb.Door, seed: int, shelf: Shelf | None = None, epoch_ms: float = 0.0) -> None:
-        """`shelf` holds the hooks, where there are any; `epoch_ms` is what the clock lacks to Unix time, for them."""
-        self.settings = module_settings(door)
+    def __init__(self, parts: Parts, seed: int, shelf: Shelf | None = None) -> None:
+        """`shelf` holds the hooks, where there are any."""
+        self.settings = parts.settings
         self._gateway = Gateway(self.settings, seed)
-        self._routes = Routes(door)
-        self._targets = Targets(door.listener.HasField("tls"), list(door.listener.host_name))
-        upstream, listener = door.upstream, door.listener
-        self._status = StatusTable(upstream.refusal_status, upstream.refusal_header,
-                                   frozenset(upstream.error_status or ERROR_STATUS))
-        self._name = door.name
-        self._id_header = listener.request_id_header.lower().encode()
-        self._deadline_header = listener.deadline_header.lower().encode()
-        self._margin, self._max_open = listener.answer_margin_ms, listener.max_open
-        self._connect_ms, self._cancel = upstream.connect_ms, upstream.cancel
-        self._records = door.HasField("counter")  # the counter service keeps tries, Redis only counts
-        self._max_wait = door.max_retry_after_ms
-        self._sampler = Sampler(door.tracing.share, random.Random(~seed)) if door.HasField("tracing") else None
+        self._status, self._wording = parts.status, parts.wording
+        self._name, self._id_header = parts.name, parts.id_header
+        self._connect_ms, self._cancel = parts.connect_ms, parts.cancel
+        self._records, self._noted = parts.records, parts.noted
+        self._max_wait = parts.max_wait_ms
+        self._sampler = parts.sampler
         self._plan_of: OrderedDict[bytes, str] = OrderedDict()  # by credential, as last told
         self._auth: auth.Core | None = None
-        if door.HasField("auth"):
-            told = door.auth
-            self._auth = auth.Core(auth.Rules(
-                told.share, told.attempt_ms, told.attempts, told.per_service, told.total, told.waiting,
-                told.cache_entries, told.cache_ms, told.deny_ms, told.open_ms), len(told.service), random.Random(seed))
-            self._auth_services = [(one.host, one.port) for one in told.service]
-            self._auth_path, self._auth_by_target = told.path.encode(), told.by_target
-            names = told.credential_header or ("authorization", "cookie")
-            self._credentials = [name.lower().encode() for name in names]
-            self._auth_copies = {name.lower().encode() for name in told.copy_header}
-            self._auth_customer, self._auth_plan = (told.customer_header.lower().encode(),
-                                                    told.plan_header.lower().encode())
-            # What only the service may say: a client that says it itself is not heard.
-            self._auth_only = self._auth_copies | {self._auth_customer, self._auth_plan}
-        self._wording = Outgoing(door, self._auth_only if self._auth else (), self._auth_copies if self._auth else ())
+        if parts.auth is not None:
+            told = self._auth_told = parts.auth
+            self._auth = auth.Core(told.rules, len(told.services), random.Random(seed))
         # Asked by an edge proxy: what the module sends on goes to the proxy itself, the one server there is.
-        self._answerer = Answerer(door.forward_auth) if door.HasField("forward_auth") else None
+        self._answerer = parts.answerer
         if self._answerer is not None:
-            edge = api.Server(EDGE, door.zone, "edge", 0, api.State.UP)
+            edge = api.Server(EDGE, self.settings.zone, "edge", 0, api.State.UP)
             self._gateway.handle(0.0, api.Members(api.Scope.FULL, (edge,)))
-        self._shelf, self._epoch_ms = shelf, epoch_ms
-        self._points = self._points_of(door)
+        self._shelf = shelf
+        self.reconfigure(parts)
         self._exchanges: dict[int, Exchange] = {}  # by ticket, while anything of them is left
         self._rids: dict[str, Exchange] = {}
         self._open = 0  # requests without a final answer
@@ -171,6 +149,11 @@
             held.update({f"auth_{name}": count for name, count in self._auth.held.items()})
         return held
 
+    @property
+    def addresses(self) -> Mapping[int, tuple[str, int]]:
+        """Where the listed servers are."""
+        return self._addresses
+
     def next_at(self) -> float | None:
         """When the next Tick is due."""
         own = self._timers[0][0] if self._timers else None
@@ -187,12 +170,14 @@
         out, self._out = self._out, []
         return out
 
-    def reconfigure(self, door: pb.Door) -> None:
-        """Take up settings that differ only in what can change in service; requests that are inside keep theirs."""
-        self._routes = Routes(door)
-        self._targets = Targets(door.listener.HasField("tls"), list(door.listener.host_name))
-        self._points = self._points_of(door)
-        self._margin, self._max_open = door.listener.answer_margin_ms, door.listener.max_open
+    def reconfigure(self, parts: Parts) -> None:
+        """Take up parts that differ only in what can change in service; requests that are inside keep theirs."""
+        self._routes, self._targets, self._points = parts.routes, parts.targets, parts.points
+        self._margin, self._max_open = parts.margin_ms, parts.max_open
+
+    def worded(self, reason: str) -> tuple[ev.Headers, bytes]:
+        """Headers and body of an answer to what is no request of the engine's."""
+        return self._wording.own(reason, "", None)
 
     def stop(self, now: float) -> list[ev.Action]:
         """The daemon's time is over: every request that is still held gets its answer now."""
@@ -202,19 +187,6 @@
         out, self._out = self._out, []
         return out
 
-    def _points_of(self, door: pb.Door) -> Points | None:
-        """Where hooks act, by these settings."""
-        if self._shelf is None:
-            return None
-        named = {route.customer_header.lower().encode() for route in door.route if route.customer_header}
-        secret = set(self._credentials) if self._auth is not None else set()
-        if door.HasField("forward_auth"):
-            secret.add(door.forward_auth.secret_header.lower().encode())
-        kept = {*self._wording.own, *named}
-        if self._auth is not None:
-            kept |= self._auth_only
-        return Points(door, self._routes, secret - {b""}, kept, self._epoch_ms)
-
     # The module -----------------------------------------------------------------------------------------
 
     def _tell(self, event: api.Event) -> None:
@@ -359,7 +331,7 @@
 
     def _limits(self, routed: Routed) -> ev.Headers:
         plan = routed.plan
-        if plan.rate <= 0:
+        if plan.rate <= 0 or not self._wording.tells_limits:
             return []
         room = self._gateway.room(self._now, routed.customer)
         full = 0.0 if room is None else max(plan.burst - room, 0.0) / plan.rate * 1000.0
@@ -367,8 +339,10 @@
 
     def _answer(self, exchange: Exchange, status: int, reason: str, wait: float | None) -> None:
         """A final answer of the door's own."""
-        headers, body = own_answer(reason, exchange.label, wait)
-        runner = exchange.runner or exchange.edition.runner(exchange.routed.key)
+        headers, body = self._wording.own(reason, exchange.label, wait)
+        runner, edition = exchange.runner, exchange.edition
+        if runner is None and edition is not None:
+            runner = edition.runner(exchange.routed.key)
         if wait is not None and runner is not None and runner.has("refusal"):
             assert self._points is not None
             words = self._points.refusal(self._now, runner, exchange, status, reason, wait)
@@ -395,6 +369,8 @@
             for name in ("auth", "counter"):
                 exchange.trace.end(name, self._now)
         self._open -= 1
+        if not self._noted:
+            return
         routed = exchange.routed
         fields: dict[str, Any] = {
             "request": exchange.label, "customer": routed.key, "plan": routed.plan.name, "class": routed.cls.name,
@@ -431,7 +407,7 @@
         method, target = event.method, event.target
         if self._answerer is not None:
             about = self._answerer.read(method, target, event.headers, event.peer)
-            if isinstance(about, Unasked):
+            if isinstance(about, auth.Unasked):
                 self._turn_away(event, about.status, about.reason, named, None)
                 return
             method, target = about.method, about.target
@@ -479,7 +455,8 @@
         """Who the customer is is known: the module decides."""
         if exchange.trace is not None:
             exchange.trace.end("auth", self._now)
-        exchange.runner = runner = exchange.edition.runner(routed.key)
+        runner = exchange.edition.runner(routed.key) if exchange.edition is not None else None
+        exchange.runner = runner
         if runner is not None and runner.has("classify"):
             assert self._points is not None
             exchange.routed = before = routed
@@ -490,7 +467,8 @@
                 self._timer(exchange.deadline, self._deadline, exchange.ticket)
         exchange.routed, exchange.told = routed, True
         self._tell(api.Request(exchange.rid, routed.cls.name, routed.plan.name, routed.customer,
-                               max(exchange.deadline - self._now, 0.0), routed.units, routed.spread, routed.first))
+                               max(exchange.deadline - self._now, 0.0), routed.units, routed.spread, routed.first,
+                               routed.retry))
         if exchange.trace is not None and not exchange.settled and not exchange.servers:
             exchange.trace.begin("counter", self._now)  # the module waits for the total
 
@@ -505,10 +483,10 @@
         digest = hashlib.blake2b(digest_size=16)
         sent: ev.Headers = []
         for name, value in head.headers:
-            if name in self._credentials:
+            if name in self._auth_told.credentials:
                 sent.append((name, value))
                 digest.update(b"%d %b %d %b " % (len(name), name, len(value), value))
-        if self._auth_by_target:
+        if self._auth_told.by_target:
             digest.update(head.method + b" " + head.target)
         host = header(head.headers, b"host") or b""
         sent += [(b"x-forwarded-method", head.method), (b"x-forwarded-proto", b"http"),
@@ -525,7 +503,8 @@
         for action in actions:
             match action:
                 case auth.Start(check=check, attempt=attempt, service=service, payload=payload):
-                    self._out.append(ev.Ask(check, attempt, self._auth_services[service], self._auth_path, payload))
+                    told = self._auth_told
+                    self._out.append(ev.Ask(check, attempt, told.services[service], told.path, payload))
                 case auth.Stop(check=check, attempt=attempt):
                     self._out.append(ev.StopAsking(check, attempt))
                 case auth.Allow(ticket=ticket, answer=answer):
@@ -542,7 +521,7 @@
         else:
             exchange.verdict = answer
             found = list(answer.headers)
-            key, plan = header(found, self._auth_customer), header(found, self._auth_plan)
+            key, plan = header(found, self._auth_told.customer_header), header(found, self._auth_told.plan_header)
             routed = self._routes.identify(exchange.guarded, (key or b"").decode("latin-1").strip(),
                                            (plan or b"").decode("latin-1").strip())
         if isinstance(routed, Unroutable):
@@ -581,7 +560,7 @@
     def _turn_away(self, event: ev.Arrived, status: int, reason: str, label: str, wait: float | None,
                    more: ev.Headers = NO_HEADERS) -> None:
         """Answer what never reaches the module."""
-        headers, body = own_answer(reason, label, wait) if status != NO_CONTENT else ([], b"")
+        headers, body = self._wording.own(reason, label, wait) if status != NO_CONTENT else ([], b"")
         headers += [*more, *self._wording.signed(label)]
         self._out.append(ev.Note("turned away", {"request": label, "status": status, "reason": reason}))
         self._out.append(ev.Reply(event.ticket, status, headers, body))
@@ -632,8 +611,7 @@
         attempt.status, attempt.headers = event.status, event.headers
 
     def _passed(self, exchange: Exchange, attempt: Attempt, whole: bool) -> None:
-        headers = only_ours(attempt.headers)
-        headers = [pair for pair in headers if pair[0] != self._id_header]
+        headers = self._wording.passed(attempt.headers)
         runner = exchange.runner
         if runner is not None and runner.has("answer"):
             assert self._points is not None
--- a/martenstep/door/events.py
+++ b/martenstep/door/events.py
@@ -9,12 +9,14 @@
 import math
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from martenstep.door.traces import Trace
 from martenstep.interface import Verdict
 from martenstep.members.lists import Listed as Listed
 
+if TYPE_CHECKING:  # a door that traces nothing does not load what traces weigh
+    from martenstep.door.traces import Trace
+
 Headers = list[tuple[bytes, bytes]]
 
 
--- /dev/null
+++ b/martenstep/door/fitting.py
@@ -0,0 +1,83 @@
+"""The parts of an engine as a door's settings (door.proto) give them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from martenstep.auth import core as auth
+from martenstep.auth.answerer import Answerer
+from martenstep.config import door_pb2 as pb
+from martenstep.config.settings import ERROR_STATUS, module_settings
+from martenstep.config.tls import ClientContext, ServerContext
+from martenstep.door.checks import Checks
+from martenstep.door.driver import Driver
+from martenstep.door.engine import Engine
+from martenstep.door.parts import AuthParts, Parts
+from martenstep.door.points import Points
+from martenstep.door.routes import Routes
+from martenstep.door.stages.outgoing import Outgoing
+from martenstep.door.targets import Targets
+from martenstep.door.traces import Sampler
+from martenstep.door.verdicts import StatusTable
+from martenstep.hooks.releases import Shelf
+
+
+def _auth_of(door: pb.Door) -> AuthParts | None:
+    if not door.HasField("auth"):
+        return None
+    told = door.auth
+    rules = auth.Rules(told.share, told.attempt_ms, told.attempts, told.per_service, told.total, told.waiting,
+                       told.cache_entries, told.cache_ms, told.deny_ms, told.open_ms)
+    names = told.credential_header or ("authorization", "cookie")
+    return AuthParts(rules, [(one.host, one.port) for one in told.service], told.path.encode(), told.by_target,
+                     [name.lower().encode() for name in names], told.customer_header.lower().encode(),
+                     told.plan_header.lower().encode())
+
+
+def parts_of(door: pb.Door, seed: int, shelf: Shelf | None = None, epoch_ms: float = 0.0) -> Parts:
+    """Everything that an engine needs of the settings.  `shelf` holds the hooks, where there are any; `epoch_ms` is
+    what the clock lacks to Unix time, for them."""
+    upstream, listener = door.upstream, door.listener
+    routes, asked = Routes(door), _auth_of(door)
+    copies = frozenset(name.lower().encode() for name in door.auth.copy_header) if asked is not None else frozenset()
+    # What only the service may say: a client that says it itself is not heard.
+    only = copies | {asked.customer_header, asked.plan_header} if asked is not None else frozenset()
+    wording = Outgoing(door, only, copies)
+    points = None
+    if shelf is not None:
+        named = {route.customer_header.lower().encode() for route in door.route if route.customer_header}
+        secret = set(asked.credentials) if asked is not None else set()
+        if door.HasField("forward_auth"):
+            secret.add(door.forward_auth.secret_header.lower().encode())
+        points = Points(door, routes, secret - {b""}, {*wording.own_names, *named, *only}, epoch_ms)
+    return Parts(
+        name=door.name, settings=module_settings(door), routes=routes,
+        targets=Targets(listener.HasField("tls"), list(listener.host_name)),
+        status=StatusTable(upstream.refusal_status, upstream.refusal_header,
+                           frozenset(upstream.error_status or ERROR_STATUS)),
+        wording=wording, id_header=listener.request_id_header.lower().encode(),
+        margin_ms=listener.answer_margin_ms, max_open=listener.max_open, connect_ms=upstream.connect_ms,
+        cancel=upstream.cancel, max_wait_ms=door.max_retry_after_ms,
+        records=door.HasField("counter"),  # the counter service keeps tries, Redis only counts
+        auth=asked, answerer=Answerer(door.forward_auth) if door.HasField("forward_auth") else None,
+        sampler=Sampler(door.tracing.share, random.Random(~seed)) if door.HasField("tracing") else None,
+        points=points,
+    )
+
+
+def engine_of(door: pb.Door, seed: int, shelf: Shelf | None = None, epoch_ms: float = 0.0) -> Engine:
+    """An engine by a door's settings."""
+    return Engine(parts_of(door, seed, shelf, epoch_ms), seed, shelf)
+
+
+def driver_of(door: pb.Door, engine: Engine, note: Callable[[str, dict[str, Any]], None]) -> Driver:
+    """A driver by a door's settings; raises TlsError."""
+    listener, upstream = door.listener, door.upstream
+    driver = Driver(listener, upstream, engine, note,
+                    ServerContext(listener.tls) if listener.HasField("tls") else None,
+                    ClientContext(upstream.tls) if upstream.HasField("tls") else None, upstream.tls.server_name)
+    if door.HasField("auth"):
+        driver.check_by(Checks(driver, door.auth))
+    return driver
--- a/martenstep/door/http.py
+++ b/martenstep/door/http.py
@@ -49,6 +49,7 @@
     "bad deadline": "the deadline header is not a number above 0",
 }
 SECOND_MS = 1000.0
+Pairs = tuple[tuple[str, str], ...]
 
 
 def without_named(headers: Headers, drop: frozenset[bytes]) -> frozenset[bytes]:
@@ -130,3 +131,8 @@
     body = msgspec.json.encode(told) + b"\n"
     headers.append((b"content-length", str(len(body)).encode()))
     return headers, body
+
+
+def encoded(pairs: Pairs) -> Headers:
+    """Headers as the wire has them; the border lets nothing beyond Latin-1 pass."""
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in pairs]
--- /dev/null
+++ b/martenstep/door/parts.py
@@ -0,0 +1,215 @@
+"""What an engine is put together from: the seams behind which one protocol differs from another.
+
+An engine is the same whatever the requests look like.  How a request tells of its class and customer, how an attempt
+and an answer are worded, what an answer's status proves and which forms of a target are taken is given to it here;
+`fitting` makes these from a door's settings, `martenstep.node` from a platform's configuration.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from martenstep import interface as api
+from martenstep.door.events import Headers
+from martenstep.door.targets import Declined, Taken
+from martenstep.interface import Verdict
+
+if TYPE_CHECKING:
+    from martenstep.auth import core as auth
+    from martenstep.auth.answerer import Answerer
+    from martenstep.door.points import Points
+    from martenstep.door.traces import Sampler
+
+
+@dataclass(slots=True)
+class Routed:
+    """Where a request belongs."""
+
+    cls: api.RequestClass
+    plan: api.Plan
+    customer: int
+    key: str
+    units: float
+    spread: int
+    first: int
+    retry: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Guarded:
+    """A request whose customer an authentication service must tell first."""
+
+    cls: api.RequestClass
+    units: float
+    fail_open: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Unroutable:
+    """Why it belongs nowhere: a status and a reason."""
+
+    status: int
+    reason: str
+
+
+class RouteTable(Protocol):
+    """From a request's head to what the module is told of it."""
+
+    def route(self, method: bytes, target: bytes, headers: Headers) -> Routed | Guarded | Unroutable:
+        """Where a request belongs."""
+
+    def deadline_ms(self, cls: api.RequestClass, headers: Headers) -> float | None:
+        """How long its client waits; None where that is told and is no figure."""
+
+    def identify(self, guarded: Guarded, key: str, plan: str) -> Routed | Unroutable:
+        """A guarded request, once its customer is told."""
+
+    def anonymous(self, guarded: Guarded) -> Routed | Unroutable:
+        """A guarded request that passes without a verdict."""
+
+
+class TargetForms(Protocol):
+    """Which forms of a target are taken."""
+
+    def take(self, method: bytes, target: bytes, headers: Headers) -> Taken | Declined:
+        """What goes on, or the door's own answer."""
+
+
+class StatusReader(Protocol):
+    """What the status of a server's answer proves."""
+
+    def verdict(self, status: int, headers: Headers) -> Verdict:
+        """How the attempt ended."""
+
+
+class Wording(Protocol):
+    """How attempts and answers are worded."""
+
+    tells_limits: bool  # answers tell what is left of the plan
+
+    def signed(self, label: str) -> Headers:
+        """What every message of the door carries."""
+
+    def copied(self, headers: Headers) -> Headers:
+        """Of an authentication service's answer what servers are told."""
+
+    def headers(self, client: Headers, more: Headers, given: Headers, label: str, rid: str, attempt: int,
+                left_ms: float, peer: str, traceparent: bytes, keyed: bool) -> Headers:
+        """An attempt's headers."""
+
+    def passed(self, headers: Headers) -> Headers:
+        """Of a server's answer what its client is told."""
+
+    def own(self, reason: str, label: str, wait_ms: float | None) -> tuple[Headers, bytes]:
+        """Headers and body of an answer of the door's own."""
+
+
+@dataclass(frozen=True, slots=True)
+class AuthParts:
+    """How authentication services are asked, and what of their answers counts.  Names are in lower case."""
+
+    rules: auth.Rules
+    services: Sequence[tuple[str, int]]
+    path: bytes
+    by_target: bool
+    credentials: Sequence[bytes]
+    customer_header: bytes
+    plan_header: bytes
+
+
+@dataclass(slots=True)
+class Parts:
+    """All of it.  Times are milliseconds."""
+
+    name: str
+    settings: api.Settings
+    routes: RouteTable
+    targets: TargetForms
+    status: StatusReader
+    wording: Wording
+    id_header: bytes  # names a request in logs and to servers
+    margin_ms: float  # a request ends so much before its client's deadline
+    max_open: int  # requests held at once
+    connect_ms: float
+    cancel: bool  # an attempt may be called off before its end
+    max_wait_ms: float  # of a retry-after
+    records: bool = False  # the counter service keeps tries
+    noted: bool = True  # each final answer is told to the log
+    auth: AuthParts | None = None
+    answerer: Answerer | None = None
+    sampler: Sampler | None = None
+    points: Points | None = None
+
+
+class ListenerBounds(Protocol):
+    """What a driver holds its clients to.  Sizes are bytes, times milliseconds."""
+
+    @property
+    def host(self) -> str:
+        """Where it listens."""
+
+    @property
+    def port(self) -> int:
+        """And the port; 0: any that is free."""
+
+    @property
+    def max_connections(self) -> int:
+        """Connections held at once."""
+
+    @property
+    def head_bytes(self) -> int:
+        """Of a request's line and headers."""
+
+    @property
+    def body_bytes(self) -> int:
+        """Of a request's body."""
+
+    @property
+    def idle_ms(self) -> float:
+        """A connection without a request is closed after this."""
+
+    @property
+    def head_ms(self) -> float:
+        """A head, and with `whole_body` the body too, must be whole within this."""
+
+    @property
+    def leave_on_half_close(self) -> bool:
+        """A client that closed its side is taken for gone."""
+
+    @property
+    def whole_body(self) -> bool:
+        """A request is taken once its body is whole."""
+
+
+class UpstreamBounds(Protocol):
+    """What a driver holds its connections to servers to."""
+
+    @property
+    def connections(self) -> int:
+        """To one server, in use and idle."""
+
+    @property
+    def idle_ms(self) -> float:
+        """An idle connection is closed after this."""
+
+    @property
+    def answer_idle_ms(self) -> float:
+        """Between two parts of an answer that has begun."""
+
+    @property
+    def keep_body_bytes(self) -> int:
+        """Of a request's body, for a further attempt."""
+
+    @property
+    def hold_answer_bytes(self) -> int:
+        """Of an answer, before it belongs to the client."""
+
+    @property
+    def answer_bytes(self) -> int:
+        """Of an answer: a longer one is a failed attempt; 0: no bound."""
+
+    @property
+    def all_connections(self) -> int:
+        """To all servers together; 0: no bound."""
--- a/martenstep/door/points.py
+++ b/martenstep/door/points.py
@@ -9,7 +9,7 @@
 
 from martenstep.config import door_pb2 as pb
 from martenstep.door.events import Arrived, Headers
-from martenstep.door.http import path_of
+from martenstep.door.http import encoded, path_of
 from martenstep.door.routes import Routed, Routes
 from martenstep.hooks import border
 from martenstep.hooks.runner import Runner
@@ -18,7 +18,6 @@
 SECRET = frozenset((b"authorization", b"cookie", b"proxy-authorization"))
 MOST_GIVEN = 100  # headers that a hook is given
 DEFAULT_BODY = "text/plain"
-Pairs = tuple[tuple[str, str], ...]
 
 
 def origin_form(target: bytes) -> str:
@@ -33,11 +32,6 @@
     return str(value.partition(b",")[0].partition(b";")[0].strip(), "latin-1") if value else ""
 
 
-def encoded(pairs: Pairs) -> Headers:
-    """Headers as the wire has them; the border lets nothing beyond Latin-1 pass."""
-    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in pairs]
-
-
 class Subject(Protocol):
     """A request, as far as hooks have to do with it."""
 
--- a/martenstep/door/routes.py
+++ b/martenstep/door/routes.py
@@ -12,36 +12,9 @@
 from martenstep.config.settings import class_of, customer_id, plan_of
 from martenstep.door.events import Headers
 from martenstep.door.http import header, path_of
-
-
-@dataclass(slots=True)
-class Routed:
-    """Where a request belongs."""
-
-    cls: api.RequestClass
-    plan: api.Plan
-    customer: int
-    key: str
-    units: float
-    spread: int
-    first: int
-
-
-@dataclass(frozen=True, slots=True)
-class Guarded:
-    """A request whose customer an authentication service must tell first."""
-
-    cls: api.RequestClass
-    units: float
-    fail_open: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Unroutable:
-    """Why it belongs nowhere: a status and a reason."""
-
-    status: int
-    reason: str
+from martenstep.door.parts import Guarded as Guarded
+from martenstep.door.parts import Routed as Routed
+from martenstep.door.parts import Unroutable as Unroutable
 
 
 @dataclass(frozen=True, slots=True)
--- a/martenstep/door/stages/outgoing.py
+++ b/martenstep/door/stages/outgoing.py
@@ -6,12 +6,14 @@
 
 from martenstep.config import door_pb2 as pb
 from martenstep.door.events import Headers
-from martenstep.door.http import DROPPED, header, overlaid, without_named
+from martenstep.door.http import DROPPED, header, only_ours, overlaid, own_answer, without_named
 
 
 class Outgoing:
     """The wording of one door."""
 
+    tells_limits = True
+
     def __init__(self, door: pb.Door, auth_only: Collection[bytes], auth_copies: Collection[bytes]) -> None:
         """`auth_only`: headers that only an authentication service may say; `auth_copies`: of its answer, those that
         servers are told."""
@@ -23,7 +25,7 @@
         self._key = upstream.key_header.lower().encode()
         self._deadline = listener.deadline_header.lower().encode()
         self._drop = DROPPED | {self._id, self._attempt, self._deadline}
-        self.own = (self._id, self._attempt, self._key, self._deadline)  # headers that are the door's to word
+        self.own_names = (self._id, self._attempt, self._key, self._deadline)  # headers that are the door's to word
         self._auth_only, self._auth_copies = frozenset(auth_only), frozenset(auth_copies)
 
     def signed(self, label: str) -> Headers:
@@ -43,6 +45,14 @@
         """Of a service's answer what servers are told."""
         return [pair for pair in headers if pair[0] in self._auth_copies]
 
+    def passed(self, headers: Headers) -> Headers:
+        """Of a server's answer what its client is told: the request's id is the door's to tell."""
+        return [pair for pair in only_ours(headers) if pair[0] != self._id]
+
+    def own(self, reason: str, label: str, wait_ms: float | None) -> tuple[Headers, bytes]:
+        """Headers and body of an answer of the door's own."""
+        return own_answer(reason, label, wait_ms)
+
     def headers(self, client: Headers, more: Headers, given: Headers, label: str, rid: str, attempt: int,
                 left_ms: float, peer: str, traceparent: bytes, keyed: bool) -> Headers:
         """An attempt's headers: the client's, a service's (`more`), a hook's (`given`), and the door's own."""
--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import ssl
 import struct
@@ -27,9 +28,13 @@
 READ_BYTES = 65536  # of one read, and what a stream buffers before it stops reading
 
 
+EPOCH_MS = (time.time() - time.monotonic()) * 1000.0  # once: a step of the wall clock must not move what is timed
+
+
 def now_ms() -> float:
-    """The driver's clock."""
-    return time.monotonic() * 1000.0
+    """The driver's clock: monotonic, and in Unix time as it was at the start.  Doors number the periods of a quota by
+    it, so that two machines whose monotonic clocks differ still share their names at the counter."""
+    return time.monotonic() * 1000.0 + EPOCH_MS
 
 
 class WatchedReader(asyncio.StreamReader):
@@ -140,7 +145,7 @@
 class Upstream:
     """One connection to a server."""
 
-    __slots__ = ("_bounded", "address", "idle_since", "paused", "reader", "wire", "writer")
+    __slots__ = ("_bounded", "_poll", "address", "idle_since", "paused", "reader", "wire", "writer")
 
     def __init__(self, address: tuple[str, int], reader: WatchedReader, writer: asyncio.StreamWriter) -> None:
         self.address, self.reader, self.writer = address, reader, writer
@@ -148,11 +153,17 @@
         self.idle_since = 0.0
         self.paused = False  # reading stands still for a slow client
         self._bounded = False
+        self._poll = select.poll()
+        self._poll.register(writer.get_extra_info("socket").fileno(), select.POLLIN)
 
     @property
     def sound(self) -> bool:
         """Whether an idle connection may be written to: its end has not come, and nothing unasked."""
-        return not self.reader.touched and not self.writer.transport.is_closing()
+        if self.reader.touched or self.writer.transport.is_closing():
+            return False
+        # What the loop has not read yet counts as well: a second copy of the last answer, still in the kernel, would
+        # be taken for the next one's.
+        return not self._poll.poll(0)
 
     def deliver_within(self, ms: float | None) -> None:
         """The kernel breaks the connection where what is written next is not acknowledged in so many ms (RFC 5482);
@@ -173,8 +184,10 @@
     """The connections to all servers: idle ones by address, and how many there are in all."""
 
     def __init__(self, bound: int, idle_ms: float, refused: Refused, tls: ssl.SSLContext | None = None,
-                 server_name: str = "") -> None:
+                 server_name: str = "", bound_of_all: int = 0) -> None:
+        """`bound` connections to one address, `bound_of_all` together (0: no such bound)."""
         self._bound, self._idle_ms, self._refused = bound, idle_ms, refused
+        self._bound_of_all, self._of_all = bound_of_all, 0
         self._tls, self._server_name = tls, server_name
         self._idle: dict[tuple[str, int], list[Upstream]] = {}
         self._count: dict[tuple[str, int], int] = {}
@@ -183,7 +196,7 @@
     @property
     def connections(self) -> int:
         """Connections in use, idle or being made."""
-        return sum(self._count.values())
+        return self._of_all
 
     def take(self, address: tuple[str, int]) -> Upstream | None:
         """An idle connection, the last used first; ended ones are dropped on the way."""
@@ -198,13 +211,31 @@
     def reserve(self, address: tuple[str, int]) -> bool:
         """A place for a new connection; False where the bound is reached."""
         count = self._count.get(address, 0)
-        if count >= self._bound:
+        if count >= self._bound or (self._bound_of_all and self._of_all >= self._bound_of_all
+                                    and not self._drop_longest_idle()):
             return False
         self._count[address] = count + 1
+        self._of_all += 1
+        return True
+
+    def _drop_longest_idle(self) -> bool:
+        """Make room under the bound of all; False where every connection is in use."""
+        found = min((idle[0] for idle in self._idle.values() if idle), key=lambda one: one.idle_since, default=None)
+        if found is None:
+            return False
+        self._idle[found.address].remove(found)
+        self.drop(found)
         return True
 
+    def forget(self, address: tuple[str, int]) -> None:
+        """Close the idle connections to an address whose server has gone: another may come to it."""
+        for upstream in self._idle.pop(address, []):
+            self.drop(upstream)
+
     def release(self, address: tuple[str, int]) -> None:
         """Give a place back."""
+        if address in self._count:
+            self._of_all -= 1
         left = self._count.get(address, 1) - 1
         if left > 0:
             self._count[address] = left
--- a/martenstep/lab/emulate/doors.py
+++ b/martenstep/lab/emulate/doors.py
@@ -13,8 +13,8 @@
 
 from martenstep.config import door_pb2 as cfg
 from martenstep.door import events as ev
-from martenstep.door.engine import Engine
 from martenstep.door.events import Ending
+from martenstep.door.fitting import engine_of
 from martenstep.door.http import header
 from martenstep.interface import Scope
 from martenstep.lab.emulate.auth import EmuAuth
@@ -107,7 +107,7 @@
         self._sim, self._net, self.settings, self.number = sim, net, settings, number
         self.name, self._servers, self._redis, self._costs = settings.name, servers, redis, costs
         self.place = Place(settings.name, settings.zone)
-        self.engine = Engine(settings, seed)
+        self.engine = engine_of(settings, seed)
         self._zones, self._subscribe = zones, subscribe
         self.alive, self.stopping = True, False
         self.follower = Follower()
--- /dev/null
+++ b/martenstep/node/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m martenstep.node`."""
+
+from martenstep.node.daemon import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/martenstep/node/config.py
@@ -0,0 +1,142 @@
+"""What the platform tells a front door at its start, and again on SIGHUP: NODE_CONFIG, a JSON file.
+
+The settings in it are those of the simulator's wire, read by the same reader.  What the transport is held to is
+reckoned here from the limits that the file tells.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from martenstep import interface as api
+from martenstep.wirehost import settings_of
+
+BODY_BYTES = 65_536  # of a request or an answer: the protocol allows no more
+HEAD_BYTES = 8192  # of a request's head: the platform's are below 1 KB
+HEAD_MS = 1500.0  # a request must be whole within this: who does not speak is owed a close within 3 s
+IDLE_MS = 2000.0  # a connection without a request is closed: the protocol allows no sooner
+CLIENT_SHARE = 0.5  # of the descriptors for clients' connections: they hold a third for requests, the rest are strays
+UPSTREAM_SHARE = 0.35  # of the descriptors for connections to backends
+SERVER_SHARE = 0.5  # of those that go to one backend at most: one that hangs must leave room to the others
+LEAST_SOCKETS = 64  # with fewer no front door can serve
+IDLE_PART = 0.8  # of the time after which a backend closes an idle connection: what is written later is lost
+MARGIN_MS = 8.0  # a request ends so much before its client's time is up: about the way of its answer
+
+
+class ConfigError(Exception):
+    """A configuration that cannot be used: names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Listener:
+    """What clients are held to (door.parts.ListenerBounds)."""
+
+    host: str
+    port: int
+    max_connections: int
+    head_bytes: int = HEAD_BYTES
+    body_bytes: int = BODY_BYTES
+    idle_ms: float = IDLE_MS
+    head_ms: float = HEAD_MS
+    leave_on_half_close: bool = True
+    whole_body: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """What connections to backends are held to (door.parts.UpstreamBounds)."""
+
+    connections: int
+    all_connections: int
+    idle_ms: float
+    connect_ms: float
+    answer_idle_ms: float = 1000.0  # no answer is passed on before it is whole, so that none stands still half way
+    keep_body_bytes: int = BODY_BYTES
+    hold_answer_bytes: int = BODY_BYTES
+    answer_bytes: int = BODY_BYTES
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """One front door."""
+
+    name: str
+    listener: Listener
+    upstream: Upstream
+    discovery: tuple[str, int]
+    counter: tuple[str, int] | None
+    known: bytes  # the list as last had, in discovery's form
+    seed: int
+    settings: api.Settings
+    max_open: int
+
+
+def address_of(raw: Any, field: str) -> tuple[str, int]:
+    """`host:port`; raises ConfigError."""
+    host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{field}: expected host:port, got {raw!r}")
+    return host.strip("[]"), int(port)
+
+
+def _table(raw: Any, field: str) -> dict[str, Any]:
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{field}: expected an object, got {raw!r}")
+    return raw
+
+
+def _figure(table: dict[str, Any], field: str, default: float, least: float) -> float:
+    value = table.get(field.rpartition(".")[2], default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < 1e15:
+        raise ConfigError(f"{field}: expected a number of at least {least:g}, got {value!r}")
+    return value
+
+
+def read_config(text: str) -> Config:
+    """A configuration from its text; raises ConfigError with the field at fault."""
+    try:
+        raw = _table(json.loads(text), "the file")
+    except ValueError as error:
+        raise ConfigError(f"not JSON: {error}") from None
+    told = _table(raw.get("settings"), "settings")
+    try:
+        settings = settings_of(told)
+    except ValueError as error:
+        raise ConfigError(f"settings: {error}") from None
+    policy = _table(told.get("policy_limits"), "settings.policy_limits")
+    sockets = int(_figure(_table(raw.get("limits", {}), "limits"), "limits.sockets", 1024, LEAST_SOCKETS))
+    to_backends = int(sockets * UPSTREAM_SHARE)
+    host, port = address_of(raw.get("listen"), "listen")
+    seed = raw.get("seed")
+    try:
+        number = int(str(seed), 16)
+    except ValueError:
+        raise ConfigError(f"seed: expected hex digits, got {seed!r}") from None
+    counter = address_of(raw["counter"], "counter") if raw.get("counter") else None
+    if settings.has_counter and counter is None:
+        raise ConfigError("counter: missing, and the settings have one")
+    return Config(
+        name=str(raw.get("name", "")),
+        listener=Listener(host, port, int(sockets * CLIENT_SHARE)),
+        upstream=Upstream(
+            connections=max(int(to_backends * SERVER_SHARE), 1), all_connections=to_backends,
+            idle_ms=IDLE_PART * _figure(policy, "settings.policy_limits.conn_idle_ms", 30_000.0, 0.0),
+            connect_ms=_figure(policy, "settings.policy_limits.dial_timeout_ms", 250.0, 1.0)),
+        discovery=address_of(raw.get("discovery"), "discovery"),
+        counter=counter,
+        known=json.dumps(raw.get("known", {})).encode(),
+        seed=number,
+        settings=settings,
+        max_open=int(_figure(policy, "settings.policy_limits.max_open", 20_000, 1)),
+    )
+
+
+def load_config(path: Path) -> Config:
+    """A configuration from its file; raises ConfigError."""
+    try:
+        return read_config(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError(f"cannot be read: {error}") from None
--- /dev/null
+++ b/martenstep/node/discovery.py
@@ -0,0 +1,169 @@
+"""The platform's discovery: the whole list, then a watch that continues while each call follows the last answer at
+once.
+
+`Follower` is the protocol without sockets; `Discovery` keeps a connection to the agent, which answers from what it
+has been told and is silent while discovery is down.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+from martenstep.backoff import Backoff
+from martenstep.door.wire.asking import Asking
+from martenstep.door.wire.heads import AnswerHead, Fault
+from martenstep.door.wire.readers import Data, End
+from martenstep.interface import Scope, Server, State
+from martenstep.members.lists import Listed
+from martenstep.node.config import ConfigError, address_of
+
+PATH = "/catalog/members"
+WAIT_MS = 10_000  # a watch is held for this at most
+LATE_MS = 1500.0  # an answer that is so late is not coming: the agent's connection may be gone without a word
+CONNECT_S = 1.0
+AGAIN_LEAST_MS, AGAIN_MOST_MS = 50.0, 1000.0  # between calls that fail
+READ_BYTES = 65_536
+ANSWER_BYTES = 4 << 20  # of one answer: thousands of backends
+STATES = {"ready": State.UP, "draining": State.DRAINING, "gone": State.GONE}
+
+
+class DiscoveryError(Exception):
+    """An answer that cannot be used."""
+
+
+class Follower:
+    """The list as told so far.  Servers are numbered as they are met: a uid says nothing of its server."""
+
+    def __init__(self) -> None:
+        self.rev: int | None = None  # none: the whole list is to be asked for
+        self._numbers: dict[str, int] = {}
+        self._last = 0
+        self.addresses: dict[int, tuple[str, int]] = {}
+
+    def target(self) -> str:
+        """What to ask next."""
+        return PATH if self.rev is None else f"{PATH}?after={self.rev}&wait_ms={WAIT_MS}"
+
+    def take(self, body: bytes, scope: Scope | None = None) -> Listed | None:
+        """Take in an answer; gives what it tells, none where nothing changed.  `scope` in place of the answer's own.
+        Raises DiscoveryError."""
+        try:
+            told = json.loads(body)
+            rev, whole = int(told["rev"]), bool(told["all"])
+            read = [self._server(entry) for entry in told["targets"]]
+        except (ValueError, KeyError, TypeError, ConfigError) as error:
+            raise DiscoveryError(f"not a list of backends: {error!r}") from None
+        if self.rev is None and not whole:
+            raise DiscoveryError("changes without the list that they apply to")
+        if scope is None:
+            self.rev = rev
+        if not whole and not read:
+            return None
+        servers, addresses = tuple(server for server, _ in read), {server.id: at for server, at in read}
+        for key in [key for key in self.addresses if key not in addresses] if whole else []:
+            del self.addresses[key]
+        self.addresses.update(addresses)
+        for server in servers:
+            if server.state is State.GONE:
+                self.addresses.pop(server.id, None)
+        self._numbers = {uid: number for uid, number in self._numbers.items() if number in self.addresses}
+        return Listed(scope or (Scope.FULL if whole else Scope.CHANGES), servers, addresses)
+
+    def _server(self, entry: dict[str, Any]) -> tuple[Server, tuple[str, int]]:
+        uid = str(entry["uid"])
+        number = self._numbers.get(uid)
+        if number is None:
+            self._last += 1
+            number = self._numbers[uid] = self._last
+        server = Server(number, str(entry.get("az", "")), str(entry.get("model", "")), int(entry.get("pod_group", 0)),
+                        STATES[entry["state"]], float(entry.get("capacity_hint", 1.0)),
+                        float(entry.get("boot_ms", 0.0)))
+        return server, address_of(entry.get("endpoint"), "endpoint")
+
+
+class Discovery:
+    """Follows the agent over a socket."""
+
+    def __init__(self, address: tuple[str, int], follower: Follower, tell: Callable[[Listed], None],
+                 note: Callable[[str, dict[str, Any]], None]) -> None:
+        self._address, self._follower, self._tell, self._note = address, follower, tell, note
+        self._task: asyncio.Task[None] | None = None
+        self._lost = False
+
+    def start(self) -> None:
+        """Ask from now on."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is elsewhere from now on; its revisions there may be others."""
+        if address == self._address:
+            return
+        self._address = address
+        if self._task is not None:
+            self._task.cancel()
+        self._follower.rev = None
+        self.start()
+
+    def stop(self) -> None:
+        """Ask no more."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        backoff = Backoff(AGAIN_LEAST_MS, AGAIN_MOST_MS)
+        while True:
+            try:
+                await self._follow(backoff)
+            except (OSError, TimeoutError, DiscoveryError, Fault) as error:
+                if not self._lost:
+                    self._note("discovery lost", {"error": repr(error)})
+                self._lost = True
+                self._follower.rev = None  # a watch that broke is begun anew with the whole list
+            await asyncio.sleep(backoff.failed() / 1000)
+
+    async def _follow(self, backoff: Backoff) -> None:
+        """Call over one connection until it breaks."""
+        async with asyncio.timeout(CONNECT_S):
+            reader, writer = await asyncio.open_connection(*self._address)
+        host = f"{self._address[0]}:{self._address[1]}".encode()
+        wire = Asking()
+        try:
+            while True:
+                target = self._follower.target().encode()
+                writer.write(wire.head(b"GET", target, [(b"host", host)]) + wire.end())
+                wait_ms = LATE_MS if self._follower.rev is None else WAIT_MS + LATE_MS
+                async with asyncio.timeout(wait_ms / 1000):
+                    body = await self._answer(reader, wire)
+                listed = self._follower.take(body)
+                backoff.succeeded()
+                if self._lost:
+                    self._lost = False
+                    self._note("discovery back", {"rev": self._follower.rev})
+                if listed is not None:
+                    self._tell(listed)
+                if not wire.reusable:
+                    return
+        finally:
+            writer.close()
+
+    @staticmethod
+    async def _answer(reader: asyncio.StreamReader, wire: Asking) -> bytes:
+        body = bytearray()
+        while True:
+            event = wire.next()
+            if event is None:
+                wire.feed(await reader.read(READ_BYTES))
+            elif isinstance(event, AnswerHead):
+                if event.status != 200:
+                    raise DiscoveryError(f"answered {event.status}")
+            elif isinstance(event, Data):
+                body += event.data
+                if len(body) > ANSWER_BYTES:
+                    raise DiscoveryError(f"an answer of over {ANSWER_BYTES} bytes")
+            elif isinstance(event, End):
+                return bytes(body)
+            else:
+                raise DiscoveryError("the connection ended")
--- a/martenstep/wirehost.py
+++ b/martenstep/wirehost.py
@@ -135,6 +135,11 @@
         raise WireError("field params: expected a JSON object") from None
     if not isinstance(raw, dict):
         raise WireError("field params: expected a JSON object")
+    return settings_of(raw)
+
+
+def settings_of(raw: dict[str, Any]) -> api.Settings:
+    """The wire's settings, as they come in JSON, in the module's terms; raises ValueError naming the key."""
     family, limits, rules = raw.get("family_info", {}), _need(raw, "policy_limits"), _need(raw, "rules")
     feedback = raw.get("feedback", {})
     try:
--- a/tests/door_rig.py
+++ b/tests/door_rig.py
@@ -7,7 +7,7 @@
 from martenstep.config import door_pb2 as pb
 from martenstep.config.settings import parse_door
 from martenstep.door import events as ev
-from martenstep.door.engine import Engine
+from martenstep.door.fitting import engine_of
 from martenstep.hooks.releases import Shelf
 from martenstep.interface import Scope, Server, State, Verdict
 from martenstep.members.lists import Listed
@@ -54,7 +54,7 @@
 
     def __init__(self, text: str = "", servers: tuple[int, ...] = (1, 2, 3, 4), seed: int = 1,
                  shelf: Shelf | None = None) -> None:
-        self.engine = Engine(settings(text), seed, shelf)
+        self.engine = engine_of(settings(text), seed, shelf)
         self.now = START
         self.did: list[ev.Action] = []
         self._ticket = 0
--- a/tests/socket_rig.py
+++ b/tests/socket_rig.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from martenstep.door.driver import Driver
-from martenstep.door.engine import Engine
+from martenstep.door.fitting import driver_of, engine_of
 from martenstep.interface import Scope, Server, State
 from martenstep.members.lists import Listed
 from tests.door_rig import settings
@@ -151,7 +151,7 @@
     notes: list[tuple[str, dict[str, Any]]] = []
     door = settings(text)
     door.ClearField("store")
-    driver = Driver(door, Engine(door, 1), lambda event, fields: notes.append((event, fields)))
+    driver = driver_of(door, engine_of(door, 1), lambda event, fields: notes.append((event, fields)))
     numbers = [await back.start() for back in backs] + list(ports)
     servers = tuple(Server(n, "a", "std", 0, State.UP) for n in range(1, len(numbers) + 1))
     driver.act(Listed(Scope.WARM_COPY, servers, {n + 1: ("127.0.0.1", port) for n, port in enumerate(numbers)}))
--- a/tests/test_auth_answerer.py
+++ b/tests/test_auth_answerer.py
@@ -15,7 +15,7 @@
 from martenstep.config.settings import parse_door
 from martenstep.config.text import Faults
 from martenstep.door import events as ev
-from martenstep.door.engine import Engine
+from martenstep.door.fitting import engine_of
 from tests.door_rig import DOOR, QUIET, Rig, head
 
 LINES = [line for line in DOOR.split("\n") if not line.startswith("members")]
@@ -29,7 +29,7 @@
     def __init__(self, more: str = "") -> None:
         door = parse_door(FORWARDED, "d")
         text_format.Merge(more, door)
-        self.engine = Engine(door, 1)
+        self.engine = engine_of(door, 1)
         self.now, self.did, self._ticket = 100_000.0, [], 0
 
     def sub(self, uri: str = "/read/1", customer: str = "free", peer: str = "10.0.0.1", **more: str) -> int:
