--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -91,13 +91,19 @@
         loop.set_exception_handler(lambda _, context: self._fault(context))
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reloaded)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.start()
+        await self._stop.wait()
+        await self.stop()
+
+    async def start(self) -> int:
+        """Bind everything, and be ready once there is a list; gives the listener's port."""
         self._known()
         if self._counter is not None:
             self.driver.add = self._counter.add
             self._counter.start()
         self._discovery.start()
-        await self.driver.start()
+        port = await self.driver.start()
         try:
             async with asyncio.timeout(FIRST_LIST_MS / 1000):
                 await self._first_list.wait()
@@ -105,10 +111,13 @@
             self._notes.note("ready without discovery", {})
         self._requests.ready = True
         self._notes.note("ready", {"servers": len(self._follower.addresses)})
-        await self._stop.wait()
+        return port
+
+    async def stop(self, leave_ms: float = LEAVE_MS) -> None:
+        """Serve on for a while, answer what is held, end."""
         self._notes.note("stopping", {"open": self.engine.open})
         longest = max((cls.deadline_ms for cls in self.config.settings.classes), default=0.0)
-        clean = await self.driver.stop(longest + STOP_SPARE_MS, LEAVE_MS)
+        clean = await self.driver.stop(longest + STOP_SPARE_MS, leave_ms)
         self._discovery.stop()
         if self._counter is not None:
             self._counter.stop()
@@ -117,7 +126,7 @@
     def _fault(self, context: dict[str, Any]) -> None:
         self._notes.note("fault", {"where": str(context.get("message", "")), "error": repr(context.get("exception"))})
 
-    def _reloaded(self) -> None:
+    def reload(self) -> None:
         """SIGHUP: discovery and the counter may be elsewhere.  A file that cannot be read leaves all as it is."""
         try:
             config = load_config(self._path)
--- /dev/null
+++ b/tests/test_node_counter.py
@@ -0,0 +1,137 @@
+"""The platform's counter: calls in its form, answers in order, and what is in doubt with a connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from martenstep.interface import Verdict
+from martenstep.node import counter as counters
+from martenstep.node.counter import Counter, Lane, UnreadableError, worded
+from tests.socket_rig import Back, Peer, run
+
+Answers = list[tuple[int, Verdict, float]]
+
+
+def lane(*calls: int) -> tuple[Lane, Answers]:
+    """A connection with calls out."""
+    answers: Answers = []
+    made = Lane(lambda call, verdict, total: answers.append((call, verdict, total)))
+    made.out.extend(calls)
+    return made, answers
+
+
+def test_a_call_has_its_parts_written_out() -> None:
+    assert worded(12, -2.5, 4000.2) == b"*4\r\n$6\r\nADDGET\r\n$2\r\n12\r\n$4\r\n-2.5\r\n$4\r\n4000\r\n"
+    assert b"$8\r\n0.000001\r\n" in worded(1, 1e-6, 1.0), "an exponent is no decimal number"
+    assert worded(1, 0.0, 0.2).endswith(b"$1\r\n0\r\n$1\r\n1\r\n")
+
+
+def test_answers_come_in_order_and_in_pieces() -> None:
+    made, answers = lane(1, 2, 3, 4)
+    for byte in b"$3\r\n7.5\r\n-BUSY\r\n$2\r\n-1\r\n-ERR no\r\n":
+        made.feed(bytes([byte]))
+    assert answers == [(1, Verdict.OK, 7.5), (2, Verdict.FULL, 0.0), (3, Verdict.OK, -1.0), (4, Verdict.FULL, 0.0)]
+
+
+@pytest.mark.parametrize("noise", [
+    b"$3\r\nabc\r\n", b"$3\r\nnan\r\n", b"$3\r\ninf\r\n", b":5\r\n", b"+OK\r\n", b"$-1\r\n", b"$x\r\n", b"x" * 600,
+    b"$9999999\r\n", b"$1\r\n5xx", b"\r\n",
+])
+def test_what_is_no_answer_leaves_all_that_is_out_in_doubt(noise: bytes) -> None:
+    made, answers = lane(1, 2, 3)
+    made.feed(b"$1\r\n5\r\n")
+    with pytest.raises(UnreadableError):
+        made.feed(noise)
+    made.lost()
+    assert answers == [(1, Verdict.OK, 5.0), (2, Verdict.RESET, 0.0), (3, Verdict.RESET, 0.0)]
+    assert not Verdict.RESET.never_ran
+
+
+def test_an_answer_that_nobody_asked_for_ends_the_connection() -> None:
+    made, answers = lane(1)
+    with pytest.raises(UnreadableError):
+        made.feed(b"$1\r\n5\r\n$1\r\n6\r\n")
+    assert answers == [(1, Verdict.OK, 5.0)]
+
+
+async def _connected(made: Counter) -> None:
+    while len(made._links) < counters.LANES:
+        await asyncio.sleep(0.001)
+
+
+def test_calls_of_one_turn_share_a_write_and_come_back() -> None:
+    async def serves(peer: Peer) -> None:
+        while True:
+            words = [await peer.reader.readline() for _ in range(9)]
+            await peer.write(b"$1\r\n%b\r\n" % words[4][:1])
+
+    async def test() -> None:
+        back = Back(serves)
+        answers: Answers = []
+        made = Counter(("127.0.0.1", await back.start()), lambda *answer: answers.append(answer))
+        made.start()
+        await _connected(made)
+        for call in range(1, 9):
+            made.add(call, call, 1.0, 1000.0, False)
+        while len(answers) < 8:
+            await asyncio.sleep(0.001)
+        assert sorted(answers) == [(call, Verdict.OK, float(call)) for call in range(1, 9)]
+        made.stop()
+        back.stop()
+    run(test())
+
+
+def test_without_a_connection_a_call_was_never_made() -> None:
+    async def test() -> None:
+        answers: Answers = []
+        made = Counter(("127.0.0.1", 1), lambda *answer: answers.append(answer))
+        made.start()
+        made.add(1, 5, 1.0, 1000.0, False)
+        assert answers == [], "told in the midst of the call, the module would be asked anew while it decides"
+        while not answers:
+            await asyncio.sleep(0.001)
+        assert answers == [(1, Verdict.CONNECT_FAILED, 0.0)] and Verdict.CONNECT_FAILED.never_ran
+        made.stop()
+    run(test())
+
+
+def test_after_a_move_the_old_ones_answers_still_count() -> None:
+    async def test() -> None:
+        asked = asyncio.Event()
+        moved = asyncio.Event()
+
+        async def old(peer: Peer) -> None:
+            await peer.read(9)
+            asked.set()
+            await moved.wait()
+            await peer.write(b"$1\r\n3\r\n")
+            await peer.rest()
+
+        async def new(peer: Peer) -> None:
+            await peer.read(9)
+            await peer.write(b"$1\r\n8\r\n")
+            await peer.rest()
+
+        before, after = Back(old), Back(new)
+        answers: Answers = []
+        made = Counter(("127.0.0.1", await before.start()), lambda *answer: answers.append(answer))
+        made.start()
+        await _connected(made)
+        made.add(1, 5, 1.0, 1000.0, False)
+        await asked.wait()
+        made.move(("127.0.0.1", await after.start()))
+        await _connected(made)
+        made.add(2, 5, 1.0, 1000.0, False)
+        while not answers:
+            await asyncio.sleep(0.001)
+        assert answers == [(2, Verdict.OK, 8.0)]
+        moved.set()
+        while len(answers) < 2:
+            await asyncio.sleep(0.001)
+        assert answers[1] == (1, Verdict.OK, 3.0)
+        made.stop()
+        before.stop()
+        after.stop()
+    run(test())
--- /dev/null
+++ b/tests/test_node_door.py
@@ -0,0 +1,236 @@
+"""A front door of the platform on loopback, its agent, counter, backends and clients scripted byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+from martenstep.node.config import load_config
+from martenstep.node.daemon import Node
+from tests.node_rig import raw, request, target
+from tests.socket_rig import Back, Peer, Script, run
+
+
+class Place:
+    """The door and what stands around it."""
+
+    def __init__(self, node: Node, path: Path) -> None:
+        self.node, self.path = node, path
+        self.port = 0
+
+    async def client(self) -> Peer:
+        """A new connection."""
+        return Peer(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def ask(self, text: str) -> tuple[int, str, bytes]:
+        """One request on a connection of its own."""
+        peer = await self.client()
+        await peer.write(text)
+        answer = await peer.response()
+        peer.close()
+        return answer
+
+
+async def agent(peer: Peer, targets: list[dict[str, Any]]) -> None:
+    """Tells the list once, and of no change."""
+    await peer.head()
+    body = json.dumps({"rev": 1, "all": True, "targets": targets})
+    await peer.answer(body)
+    await peer.rest()
+
+
+async def counting(peer: Peer) -> None:
+    """Each name's total is what was added last."""
+    while True:
+        words = [await peer.reader.readline() for _ in range(9)]
+        total = words[6].strip()
+        await peer.write(b"$%d\r\n%b\r\n" % (len(total), total))
+
+
+@contextlib.asynccontextmanager
+async def place(tmp_path: Path, *scripts: Script, **more: Any) -> AsyncIterator[Place]:
+    """A door in front of backends, one for each script."""
+    backs = [Back(script) for script in scripts]
+    targets = [target(f"s-{number}", await back.start()) for number, back in enumerate(backs)]
+    told, counter = Back(lambda peer: agent(peer, targets)), Back(counting)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw(listen="127.0.0.1:8081", discovery=f"127.0.0.1:{await told.start()}",
+                                   counter=f"127.0.0.1:{await counter.start()}", **more)), encoding="utf-8")
+    config = load_config(path)
+    object.__setattr__(config.listener, "port", 0)  # a file names its port; a test takes any that is free
+    made = Place(Node(config, path), path)
+    made.port = await made.node.start()
+    try:
+        yield made
+    finally:
+        await made.node.stop(0.0)
+        for back in [*backs, told, counter]:
+            back.stop()
+    assert made.node.engine.open == 0
+
+
+async def serves(peer: Peer) -> None:
+    """Answers each request with its own head."""
+    while True:
+        head = await peer.head()
+        length = next((int(line.split(":")[1]) for line in head.split("\r\n") if line.startswith("content-length")), 0)
+        body = (await peer.read(length)).decode()
+        await peer.answer(f"{head.splitlines()[0]}|{body}", more="x-other: 1\r\nendpoint-load-metrics: noise\r\n")
+
+
+def test_a_request_goes_through_unchanged_and_its_answer_back(tmp_path: Path) -> None:
+    heads: list[str] = []
+
+    async def shows(peer: Peer) -> None:
+        heads.append(await peer.head())
+        await peer.answer("served")
+        await peer.rest()
+
+    async def test() -> None:
+        async with place(tmp_path, shows) as door:
+            status, head, body = await door.ask(request(1, X_Plan="small"))
+            assert (status, body) == (200, b"served") and "x-other" not in head
+            assert heads[0].startswith("get /read/00000000000000a1 http/1.1\r\n")
+            assert "x-trace-id: 0000000000000001\r\n" in heads[0] and "x-expires-in-ms: " in heads[0]
+            assert (await door.ask("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
+    run(test())
+
+
+def test_a_keyed_request_goes_with_its_body(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with place(tmp_path, serves) as door:
+            status, _, body = await door.ask(request(1, "book", method="POST", body="room 5"))
+            assert (status, body) == (200, b"post /book/00000000000000a1 http/1.1|room 5")
+    run(test())
+
+
+def test_half_a_request_reaches_no_backend(tmp_path: Path) -> None:
+    reached: list[str] = []
+
+    async def notes(peer: Peer) -> None:
+        reached.append(await peer.head())
+        await peer.answer("served")
+
+    async def test() -> None:
+        async with place(tmp_path, notes) as door:
+            peer = await door.client()
+            whole = request(1, "book", method="POST", body="room 5")
+            await peer.write(whole[:-3])
+            peer.close()
+            assert (await door.ask(request(2)))[0] == 200
+            assert len(reached) == 1 and reached[0].startswith("get ")
+    run(test())
+
+
+def test_bytes_behind_an_answer_are_nobodys_answer(tmp_path: Path) -> None:
+    """A second copy that has come, but that the loop has not read, would be served to the next request."""
+    async def twice(peer: Peer) -> None:
+        for turn in range(5):
+            await peer.head()
+            await peer.answer(f"answer {turn}")
+            await peer.answer(f"answer {turn}")
+
+    async def test() -> None:
+        async with place(tmp_path, twice) as door:
+            peer = await door.client()
+            for number in range(4):
+                await peer.write(request(number))
+                assert (await peer.response())[2] == b"answer 0", "each on a connection of its own"
+    run(test())
+
+
+def test_an_answer_that_grows_too_long_is_a_failed_attempt(tmp_path: Path) -> None:
+    async def endless(peer: Peer) -> None:
+        await peer.head()
+        await peer.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            while True:
+                await peer.write(b"1000\r\n" + b"x" * 4096 + b"\r\n")
+
+    async def huge(peer: Peer) -> None:
+        await peer.head()
+        await peer.write("HTTP/1.1 200 OK\r\ncontent-length: 3000000000\r\n\r\nxxx")
+        await peer.rest()
+
+    async def test() -> None:
+        for script in (endless, huge):
+            async with place(tmp_path, script) as door:
+                status, _, _ = await door.ask(request(1))
+                assert status == 503, "safe to repeat: refused once no attempt is left"
+                assert door.node.driver.counts["attempts"] == 3
+    run(test())
+
+
+def test_a_provisional_answer_ahead_is_read_past(tmp_path: Path) -> None:
+    async def early(peer: Peer) -> None:
+        await peer.head()
+        await peer.write("HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n")
+        await peer.answer("served")
+        await peer.rest()
+
+    async def test() -> None:
+        async with place(tmp_path, early) as door:
+            assert (await door.ask(request(1)))[2] == b"served"
+    run(test())
+
+
+def test_a_door_that_leaves_serves_what_still_comes(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with place(tmp_path, serves) as door:
+            standing = await door.client()
+            await standing.write(request(1))
+            assert (await standing.response())[0] == 200
+            leaving = asyncio.create_task(door.node.stop(500.0))
+            while not door.node.driver.leaving:
+                await asyncio.sleep(0.001)
+            await standing.write(request(2))
+            status, head, _ = await standing.response()
+            assert status == 200 and "connection: close" in head
+            assert await standing.rest() == b""
+            status, head, _ = await door.ask(request(3))
+            assert status == 200 and "connection: close" in head
+            await leaving
+    run(test())
+
+
+def test_who_says_nothing_gives_way_to_who_asks(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with place(tmp_path, serves, limits={"sockets": 64}) as door:
+            most = door.node.config.listener.max_connections
+            silent = [await door.client() for _ in range(most)]
+            while len(door.node.driver.clients) < most:
+                await asyncio.sleep(0.001)
+            assert (await door.ask(request(1)))[0] == 200
+            assert await silent[0].rest() == b"", "the one that has been silent for longest"
+            for peer in silent:
+                peer.close()
+    run(test())
+
+
+def test_a_reload_moves_discovery_and_counter(tmp_path: Path) -> None:
+    async def test() -> None:
+        asked: list[str] = []
+
+        async def elsewhere(peer: Peer) -> None:
+            asked.append(await peer.head())
+            await peer.answer(json.dumps({"rev": 1, "all": True, "targets": []}))
+            await peer.rest()
+
+        async with place(tmp_path, serves) as door:
+            other = Back(elsewhere)
+            told = json.loads(door.path.read_text(encoding="utf-8"))
+            door.path.write_text("{", encoding="utf-8")
+            door.node.reload()
+            assert (await door.ask(request(1)))[0] == 200, "a file that cannot be read changes nothing"
+            door.path.write_text(json.dumps(told | {"discovery": f"127.0.0.1:{await other.start()}"}),
+                                 encoding="utf-8")
+            door.node.reload()
+            while not asked:
+                await asyncio.sleep(0.001)
+            assert asked[0].startswith("get /catalog/members http/1.1")
+            other.stop()
+    run(test())
--- /dev/null
+++ b/tests/test_node_protocol.py
@@ -0,0 +1,158 @@
+"""Heads of the platform's protocol: what is taken, what is the client's fault, and what an answer proves."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from martenstep.door.parts import Routed, Unroutable
+from martenstep.door.targets import Declined, Taken
+from martenstep.door.wire.heads import request_head
+from martenstep.interface import Verdict
+from martenstep.node.protocol import IDS_MS, MOST_IDS, Requests, Statuses, Words
+from tests.node_rig import config, request
+
+
+class Clock:
+    """Time that a test moves."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def routed(text: str, requests: Requests | None = None) -> Any:
+    """What a request's head is taken for."""
+    head = request_head(text.partition("\r\n\r\n")[0].encode() + b"\r\n\r\n")
+    return (requests or Requests(config().settings, Clock())).route(head.method, head.target, head.headers)
+
+
+def test_a_request_tells_all_that_the_module_is_told() -> None:
+    found = routed(request(1, X_Quota="units=2,spread=2,first=1", X_Second_Try="1"))
+    assert isinstance(found, Routed)
+    assert (found.cls.name, found.plan.name, found.customer) == ("read", "free", 0xA1)
+    assert (found.units, found.spread, found.first, found.retry) == (2.0, 2, 1, True)
+
+
+def test_a_keyed_class_is_asked_by_post_with_a_key() -> None:
+    assert isinstance(routed(request(1, "book", method="POST", body="x")), Routed)
+
+
+@pytest.mark.parametrize("text", [
+    request(1, "other"),
+    request(1, X_Qos="book"),
+    request(1, X_Qos=None),
+    request(1, X_Plan="gold"),
+    request(1, X_Plan=None),
+    request(1, customer="a1"),
+    request(1, customer="00000000000000A1"),
+    request(1, customer="00000002000000000"),
+    request(1, customer="0000000200000000"),
+    request(1, customer="%30000000000000a1"),
+    request(1, X_Trace_Id=None),
+    request(1, X_Trace_Id="a b"),
+    request(1, X_Trace_Id="x" * 65),
+    request(1, X_Expires_In_Ms=None),
+    request(1, X_Expires_In_Ms="soon"),
+    request(1, X_Expires_In_Ms="-5"),
+    request(1, X_Expires_In_Ms="1e3"),
+    request(1, X_Expires_In_Ms="99999999999"),
+    request(1, X_Quota=None),
+    request(1, X_Quota="units=0,spread=3,first=0"),
+    request(1, X_Quota="units=-1,spread=3,first=0"),
+    request(1, X_Quota="units=nan,spread=3,first=0"),
+    request(1, X_Quota="units=4,spread=3,first=0"),
+    request(1, X_Quota="units=1,spread=0,first=0"),
+    request(1, X_Quota="units=1,spread=4,first=0"),
+    request(1, X_Quota="units=1,spread=3,first=3"),
+    request(1, X_Quota="units=1,spread=3"),
+    request(1, X_Second_Try="yes"),
+    request(1, method="POST", body="x"),
+    request(1, Content_Length="5"),
+    request(1, Transfer_Encoding="chunked"),
+    request(1, "book"),
+    request(1, "book", method="POST", Idempotency_Key=None),
+    request(1, "book", method="POST", Idempotency_Key=""),
+    request(1).replace("X-Plan: free\r\n", "X-Plan: free\r\nX-Plan: small\r\n"),
+    request(1).replace("X-Trace-Id:", "X-Trace-Id: other\r\nX-Trace-Id:"),
+])
+def test_what_is_not_in_form_is_the_clients_fault(text: str) -> None:
+    found = routed(text)
+    assert isinstance(found, Unroutable) and found.status == 400
+
+
+def test_an_id_is_taken_once() -> None:
+    clock = Clock()
+    requests = Requests(config().settings, clock)
+    assert isinstance(routed(request(1), requests), Routed)
+    again = routed(request(1, customer="00000000000000ff"), requests)
+    assert isinstance(again, Unroutable) and again.status == 409
+    assert isinstance(routed(request(2), requests), Routed)
+    clock.now += IDS_MS
+    assert isinstance(routed(request(1), requests), Routed), "no client waits so long: memory is bounded by time"
+
+
+def test_a_faulty_request_does_not_take_an_id() -> None:
+    requests = Requests(config().settings, Clock())
+    assert isinstance(routed(request(1, X_Quota="units=9,spread=3,first=0"), requests), Unroutable)
+    assert isinstance(routed(request(1), requests), Routed)
+
+
+def test_ids_are_bounded_in_number() -> None:
+    requests = Requests(config().settings, Clock())
+    for number in range(MOST_IDS + 10):
+        requests._ids.new(b"%d" % number)
+    assert len(requests._ids._met) <= MOST_IDS
+
+
+def test_a_client_waits_no_longer_than_its_class_allows() -> None:
+    settings = config().settings
+    requests, cls = Requests(settings, Clock()), settings.classes[0]
+    assert requests.deadline_ms(cls, [(b"x-expires-in-ms", b"480")]) == 480.0
+    assert requests.deadline_ms(cls, [(b"x-expires-in-ms", b"900000")]) == cls.deadline_ms
+    assert requests.deadline_ms(cls, [(b"x-expires-in-ms", b"0")]) is None
+
+
+def test_the_door_tells_when_it_is_ready() -> None:
+    requests = Requests(config().settings, Clock())
+    before = requests.take(b"GET", b"/_health", [])
+    assert isinstance(before, Declined) and before.status == 503
+    requests.ready = True
+    after = requests.take(b"GET", b"/_health", [])
+    assert isinstance(after, Declined) and after.status == 200
+    assert isinstance(requests.take(b"GET", b"/read/00000000000000a1", []), Taken)
+    assert isinstance(requests.take(b"GET", b"http://x/read/1", []), Declined)
+
+
+@pytest.mark.parametrize(("status", "headers", "verdict"), [
+    (200, [(b"content-length", b"12")], Verdict.OK),
+    (200, [], Verdict.OK),
+    (200, [(b"content-length", b"3000000000")], Verdict.ERROR),
+    (500, [], Verdict.ERROR),
+    (500, [(b"x-never-ran", b"1")], Verdict.ERROR),
+    (503, [(b"x-never-ran", b"1")], Verdict.FULL),
+    (504, [(b"x-never-ran", b"1")], Verdict.FULL),
+    (503, [(b"x-never-ran", b"0")], Verdict.ERROR),
+    (503, [], Verdict.ERROR),
+    (204, [], Verdict.ERROR),
+    (400, [], Verdict.ERROR),
+])
+def test_has_it_run(status: int, headers: list[tuple[bytes, bytes]], verdict: Verdict) -> None:
+    assert Statuses().verdict(status, headers) is verdict
+
+
+def test_an_attempt_carries_id_and_key_and_what_is_left() -> None:
+    head = request_head(request(7, "book", method="POST", body="abc").partition("\r\n\r\n")[0].encode() + b"\r\n\r\n")
+    made = Words().headers(head.headers, [], [], "label", "rid", 0, 812.7, "", b"", True)
+    assert sorted(made) == sorted([(b"host", b"svc"), (b"x-trace-id", b"%016x" % 7), (b"idempotency-key", b"k7"),
+                                   (b"content-length", b"3"), (b"x-expires-in-ms", b"812")])
+
+
+def test_a_refusal_tells_when_to_come_back() -> None:
+    headers, body = Words().own("quota", "", 250.0)
+    assert (b"retry-after", b"0.250") in headers and (b"content-length", b"5") in headers and body == b"quota"
+    headers, _ = Words().own("failed", "", None)
+    assert [name for name, _ in headers] == [b"content-length"]
