Answers of hundreds of KB are good; what later attempts overtook tells nothing of its server

1. node/protocol.py read any answer over 64 KiB as spoilt: 22% of all attempts were errors (printed: lengths of 134 to 391 KB). Ruled out by prints of each: statuses, faults of the parser. Now an attempt that a later one overtook tells of its connection only; an answer replaces a guess at once; and an attempt whose server had just answered is looked at again, where it was left to its deadline.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -399,6 +399,8 @@
         self.out: dict[tuple[str, int], float] = {}  # attempts out, and since when
         self.base = 0.0  # latency with no queue: follows low answers fast and high ones slowly; 0: unknown
         self.latency, self.timed = 0.0, -math.inf  # EWMA, and when it was last measured
+        self.guessed = False  # the latency is what was waited in vain, not what an answer took
+        self.proven = -math.inf  # when the attempt was sent that was sent last of all that were answered
         self.failing, self.failed = 0.0, -math.inf  # EWMA of failures, and when it last moved
         self.answered, self.answers = -math.inf, 0  # when last, and how many good ones
         self.cold_tat: float | None = None  # no send before this while cold; None: not thought of yet
@@ -509,8 +511,9 @@
         queue = max(peer.latency - peer.base, 0.0)
         if queue:
             queue *= math.exp((peer.timed - now) / max(QUEUE_TAU_MS, QUEUE_TIMES * queue))
-        for since in peer.out.values():  # what is out there tells before it is answered, the oldest most
-            return peer.base, max(queue, now - since - peer.base)
+        for since in peer.out.values():  # what is out there tells before it is answered, the oldest most,
+            if since >= peer.proven:  # but for those that later ones overtook
+                return peer.base, max(queue, now - since - peer.base)
         return peer.base, queue
 
     def _cost(self, now: float, peer: Peer) -> float:
@@ -607,7 +610,7 @@
         self._out -= 1
         if peer is None:
             return
-        peer.out.pop((event.id, event.attempt), None)
+        since = peer.out.pop((event.id, event.attempt), now)
         bad = event.verdict not in (Verdict.OK, Verdict.MOOT, Verdict.CANCELLED)
         self._unmet += POOL_GAIN * ((event.verdict is Verdict.CONNECT_FAILED) - self._unmet)
         if event.verdict in (Verdict.OK, Verdict.ERROR, Verdict.FULL):
@@ -622,8 +625,9 @@
             if self._heard >= LOW_EVERY:
                 self._bounds()
             peer.answers += 1
-            peer.latency += EWMA_GAIN * (rtt - peer.latency)
-            peer.timed = now
+            # An answer measures what was only guessed: one refutes a wait in vain.
+            peer.latency += (1.0 if peer.guessed else EWMA_GAIN) * (rtt - peer.latency)
+            peer.timed, peer.guessed, peer.proven = now, False, max(peer.proven, since)
             self._latency += POOL_GAIN * (min(rtt / aim, 1.0) - self._latency)
             limit = self._part() + self._more
             if not self.calm(now):
@@ -634,7 +638,7 @@
         elif event.verdict is Verdict.FULL:
             # Its answer comes at once: without this a full server would look idle and draw all traffic.
             self._jammed(now, peer, self._aim)
-        elif event.verdict is Verdict.TIMEOUT:
+        elif event.verdict is Verdict.TIMEOUT and since >= peer.proven:  # else of its connection only
             if not self.calm(now):
                 self._latency += POOL_GAIN * (min(event.rtt_ms / aim, 1.0) - self._latency)
                 self._more = max((self._more - self._part()) / 2, -self._part() / 2)
@@ -644,19 +648,25 @@
             if bad:
                 self._step_back(now, peer)
 
-    def silent(self, now: float, server: int, key: tuple[str, int], patience: float) -> bool:
-        """Whether nothing has come from a server for so long that an attempt there is given up."""
+    def silent(self, now: float, server: int, key: tuple[str, int], patience: float) -> float:
+        """0 where nothing has come from a server for so long that an attempt there is given up; else the time
+        until it is looked at again."""
         peer = self._peers.get(server)
-        if peer is None or key not in peer.out or now - peer.answered < patience:
-            return False
+        if peer is None or key not in peer.out or peer.out[key] < peer.proven:
+            return math.inf
+        quiet = now - max(peer.answered, peer.out[key])
+        if quiet < patience:
+            return max(patience - quiet, self._settings.tick_ms)  # less might be no time at all to a float
         self._jammed(now, peer, now - peer.out[key])  # else only the quick answers would be counted
         peer.judge(now, True)
         self._step_back(now, peer)
-        return self.calm(now)
+        return 0.0 if self.calm(now) else math.inf
 
     def _jammed(self, now: float, peer: Peer, waited: float) -> None:
         """No answer in time: the queue is this long at least, and work given up may still be in it."""
-        peer.latency, peer.timed = max(peer.latency, waited), now
+        if waited > peer.latency:
+            peer.latency, peer.guessed = waited, True
+        peer.timed = now
 
 
 # Requests ---------------------------------------------------------------------------------------------
@@ -899,8 +909,10 @@
         job = self._jobs.get(rid)
         if job is None or not job.server or len(job.attempts) != attempt + 1:
             return []
-        silent = self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience)
+        again = self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience)
+        if 0 < again < job.deadline - now:
+            return [self._wake(now + again, (rid, attempt, patience))]
         # Only where another attempt can follow: else the work done is wasted for nothing, and an unsafe
         # request, which may have run, fails long before its deadline.
         more = job.cls.effect is not Effect.UNSAFE and len(job.attempts) < self._settings.max_attempts
-        return [Cancel(rid, attempt)] if silent and self._retries >= 1 and more else []
+        return [Cancel(rid, attempt)] if not again and self._retries >= 1 and more else []
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -100,8 +100,8 @@
 class Flight:
     """One client request on its way."""
 
-    __slots__ = ("body", "client", "done", "held", "held_bytes", "number", "passing", "progress", "pump", "task",
-                 "ticket", "upstream")
+    __slots__ = ("answer_bytes", "body", "client", "done", "held", "held_bytes", "number", "passing", "progress",
+                 "pump", "task", "ticket", "upstream")
 
     def __init__(self, ticket: int, client: Client, body: Body | None, done: asyncio.Future[None]) -> None:
         self.ticket, self.client, self.body, self.done = ticket, client, body, done
@@ -111,6 +111,7 @@
         self.upstream: Upstream | None = None
         self.held: list[bytes] = []  # of the answer, not passed on yet
         self.held_bytes = 0
+        self.answer_bytes = 0  # come so far of the present attempt's
         self.passing = False  # the answer has begun to go to the client
         self.progress = 0.0  # when a begun answer last moved
 
@@ -591,7 +592,7 @@
         if flight is None:
             return
         self.counts["attempts"] += 1
-        flight.number, flight.held, flight.held_bytes = action.attempt, [], 0
+        flight.number, flight.held, flight.held_bytes, flight.answer_bytes = action.attempt, [], 0, 0
         upstream = self.pool.take(action.address)
         if upstream is not None:
             self._begin(flight, action, upstream)
@@ -725,10 +726,11 @@
             elif isinstance(event, Data):
                 flight.progress = now_ms()
                 part = event.data
+                flight.answer_bytes += len(part)
+                if 0 < self.upstream.answer_bytes < flight.answer_bytes:
+                    self._failed(flight, Ending.BAD_ANSWER)
+                    return
                 if not flight.passing:
-                    if 0 < self.upstream.answer_bytes < flight.held_bytes + len(part):
-                        self._failed(flight, Ending.BAD_ANSWER)
-                        return
                     flight.held.append(part)
                     flight.held_bytes += len(part)
                     if flight.held_bytes > self.upstream.hold_answer_bytes:
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -116,6 +116,8 @@
         self._exchanges: dict[int, Exchange] = {}  # by ticket, while anything of them is left
         self._rids: dict[str, Exchange] = {}
         self._open = 0  # requests without a final answer
+        self.answers: dict[str, int] = {}  # final ones, by reason
+        self.verdicts: dict[str, int] = {}  # on attempts
         self._addresses: dict[int, tuple[str, int]] = {}
         self._serial = 0
         self._seed = seed
@@ -292,6 +294,7 @@
     def _outcome(self, exchange: Exchange, attempt: Attempt, verdict: Verdict, ended: bool) -> None:
         """End an attempt; the one place that does."""
         attempt.open = False
+        self.verdicts[verdict.value] = self.verdicts.get(verdict.value, 0) + 1
         if exchange.trace is not None:
             exchange.trace.end("attempt", self._now, verdict=verdict.value, written=attempt.written)
         rtt = self._now - attempt.sent_at
@@ -369,6 +372,7 @@
             for name in ("auth", "counter"):
                 exchange.trace.end(name, self._now)
         self._open -= 1
+        self.answers[reason] = self.answers.get(reason, 0) + 1
         if not self._noted:
             return
         routed = exchange.routed
--- a/martenstep/node/config.py
+++ b/martenstep/node/config.py
@@ -14,7 +14,9 @@
 from martenstep import interface as api
 from martenstep.wirehost import settings_of
 
-BODY_BYTES = 65_536  # of a request or an answer: the protocol allows no more
+BODY_BYTES = 65_536  # of a request: the protocol allows no more
+ANSWER_BYTES = 8 << 20  # of an answer: backends send some of hundreds of KB, and what says it has GB is spoilt
+HOLD_BYTES = 256 << 10  # of an answer, before it is passed on: until then another attempt can replace it
 HEAD_BYTES = 8192  # of a request's head: the platform's are below 1 KB
 HEAD_MS = 1500.0  # a request must be whole within this: who does not speak is owed a close within 3 s
 IDLE_MS = 2000.0  # a connection without a request is closed: the protocol allows no sooner
@@ -53,10 +55,10 @@
     all_connections: int
     idle_ms: float
     connect_ms: float
-    answer_idle_ms: float = 1000.0  # no answer is passed on before it is whole, so that none stands still half way
+    answer_idle_ms: float = 1000.0
     keep_body_bytes: int = BODY_BYTES
-    hold_answer_bytes: int = BODY_BYTES
-    answer_bytes: int = BODY_BYTES
+    hold_answer_bytes: int = HOLD_BYTES
+    answer_bytes: int = ANSWER_BYTES
 
 
 @dataclass(frozen=True, slots=True)
--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -29,6 +29,7 @@
 LEAVE_MS = 600.0  # after SIGTERM the front still sends new connections for up to 0.4 s
 FIRST_LIST_MS = 1500.0  # the door is ready without discovery's word after this: it has the list as last known
 STOP_SPARE_MS = 200.0  # over the longest deadline, after which nothing that is held can still be served
+TELL_S = 5.0  # between two lines of totals
 GC_THRESHOLD = 20_000  # allocations between two looks for cycles: the request path makes few
 
 
@@ -62,6 +63,7 @@
         self._follower = Follower()
         self._discovery = Discovery(config.discovery, self._follower, self._listed, self._notes.note)
         self._counter = Counter(config.counter, self._counted) if config.counter is not None else None
+        self._telling: asyncio.Task[None] | None = None
         self._first_list = asyncio.Event()
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
@@ -111,12 +113,23 @@
             self._notes.note("ready without discovery", {})
         self._requests.ready = True
         self._notes.note("ready", {"servers": len(self._follower.addresses)})
+        self._telling = asyncio.get_running_loop().create_task(self._tell())
         return port
 
+    async def _tell(self) -> None:
+        """What the operators see of a door at work: totals since its start."""
+        while True:
+            await asyncio.sleep(TELL_S)
+            self._notes.note("totals", {
+                "answers": self.engine.answers, "verdicts": self.engine.verdicts, **self.engine.held,
+                **self.driver.counts, "clients": len(self.driver.clients), "upstream": self.driver.pool.connections})
+
     async def stop(self, leave_ms: float = LEAVE_MS) -> None:
         """Serve on for a while, answer what is held, end."""
         self._notes.note("stopping", {"open": self.engine.open})
         longest = max((cls.deadline_ms for cls in self.config.settings.classes), default=0.0)
+        if self._telling is not None:
+            self._telling.cancel()
         clean = await self.driver.stop(longest + STOP_SPARE_MS, leave_ms)
         self._discovery.stop()
         if self._counter is not None:
--- a/martenstep/node/protocol.py
+++ b/martenstep/node/protocol.py
@@ -7,7 +7,7 @@
 | --- | --- | --- |
 | 200 and a body | OK | yes |
 | 503 or 504 with `X-Never-Ran: 1` | FULL | never |
-| any other status, or a length beyond what the protocol allows | ERROR | it may have |
+| any other status, or a length that no answer has | ERROR | it may have |
 
 What ends without a status is in door.verdicts, which holds here as well.
 """
@@ -23,7 +23,7 @@
 from martenstep.door.parts import Guarded, Parts, Routed, Unroutable
 from martenstep.door.targets import Declined, Taken
 from martenstep.interface import Effect, Verdict
-from martenstep.node.config import BODY_BYTES, MARGIN_MS, Config
+from martenstep.node.config import ANSWER_BYTES, MARGIN_MS, Config
 
 ID, CLASS, PLAN, DEADLINE, RETRY, QUOTA, KEY = (
     b"x-trace-id", b"x-qos", b"x-plan", b"x-expires-in-ms", b"x-second-try", b"x-quota", b"idempotency-key")
@@ -145,7 +145,7 @@
         """OK, FULL or ERROR, by the table above."""
         if status == 200:
             for name, value in headers:
-                if name == LENGTH and int(value) > BODY_BYTES:
+                if name == LENGTH and int(value) > ANSWER_BYTES:
                     return Verdict.ERROR  # it would be read to its end, and is nobody's answer
             return Verdict.OK
         if status in (503, 504) and (NEVER_RAN, b"1") in headers:
