A guess of a queue stands until what was sent after it is answered; silence as before

A FULL answer's guess was refuted by whatever stood in the queue before it; now only by what was sent after it.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -625,9 +625,11 @@
             if self._heard >= LOW_EVERY:
                 self._bounds()
             peer.answers += 1
-            # An answer measures what was only guessed: one refutes a wait in vain.
-            peer.latency += (1.0 if peer.guessed else EWMA_GAIN) * (rtt - peer.latency)
-            peer.timed, peer.guessed, peer.proven = now, False, max(peer.proven, since)
+            # An answer to what was sent after a guess measures what was guessed: one refutes a wait in vain.
+            refuted = peer.guessed and since >= peer.timed
+            peer.latency += (1.0 if refuted else EWMA_GAIN) * (rtt - peer.latency)
+            peer.timed, peer.proven = now, max(peer.proven, since)
+            peer.guessed = peer.guessed and not refuted
             self._latency += POOL_GAIN * (min(rtt / aim, 1.0) - self._latency)
             limit = self._part() + self._more
             if not self.calm(now):
@@ -648,19 +650,15 @@
             if bad:
                 self._step_back(now, peer)
 
-    def silent(self, now: float, server: int, key: tuple[str, int], patience: float) -> float:
-        """0 where nothing has come from a server for so long that an attempt there is given up; else the time
-        until it is looked at again."""
+    def silent(self, now: float, server: int, key: tuple[str, int], patience: float) -> bool:
+        """Whether nothing has come from a server for so long that an attempt there is given up."""
         peer = self._peers.get(server)
-        if peer is None or key not in peer.out or peer.out[key] < peer.proven:
-            return math.inf
-        quiet = now - max(peer.answered, peer.out[key])
-        if quiet < patience:
-            return max(patience - quiet, self._settings.tick_ms)  # less might be no time at all to a float
+        if peer is None or key not in peer.out or now - peer.answered < patience:
+            return False
         self._jammed(now, peer, now - peer.out[key])  # else only the quick answers would be counted
         peer.judge(now, True)
         self._step_back(now, peer)
-        return 0.0 if self.calm(now) else math.inf
+        return self.calm(now)
 
     def _jammed(self, now: float, peer: Peer, waited: float) -> None:
         """No answer in time: the queue is this long at least, and work given up may still be in it."""
@@ -909,10 +907,8 @@
         job = self._jobs.get(rid)
         if job is None or not job.server or len(job.attempts) != attempt + 1:
             return []
-        again = self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience)
-        if 0 < again < job.deadline - now:
-            return [self._wake(now + again, (rid, attempt, patience))]
+        silent = self._fleet.silent(now, job.attempts[-1], (rid, attempt), patience)
         # Only where another attempt can follow: else the work done is wasted for nothing, and an unsafe
         # request, which may have run, fails long before its deadline.
         more = job.cls.effect is not Effect.UNSAFE and len(job.attempts) < self._settings.max_attempts
-        return [Cancel(rid, attempt)] if not again and self._retries >= 1 and more else []
+        return [Cancel(rid, attempt)] if silent and self._retries >= 1 and more else []
