A line at the counter is told from the way to it by the least time that a call takes

Cause: decide.py Quota.total held each answer against 0.25 of the time-out, of which the way alone took 0.19.

Now the wait beyond the least, which is learnt like a server's base latency.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -25,7 +25,7 @@
 CLOCKS_MS = 10.0  # gateways' clocks part by no more: so close to a name's end its total is not counted on
 NAME_LIVES = 2.5  # a name lives for this many periods: its own, and the next for the closing read
 CALL_GAIN = 0.3  # the chance of a call moves by about this part with each answer
-CALL_BUSY = 0.25  # of the time-out: an answer later than this tells of a line at the counter
+CALL_BUSY = 0.25  # of the time-out: an answer so much later than without a line tells of one at the counter
 CALL_LEAST = 0.05  # chance of a call while none is answered, so that a recovery is noticed
 CALL_MOST = 8.0  # above 1, so that tries of less than usual worth are asked for too while there is no crowd
 CLOSE_BELOW = 0.75  # of the burst left: under this the old period's end matters, and is read
@@ -240,6 +240,7 @@
         self._calls: dict[int, Ledger] = {}
         self._chance = 1.0 if settings.has_counter else 0.0  # of a call, where its answer has the usual worth
         self._worth = 0.0  # EWMA of what an answer is worth
+        self._near = CALL_BUSY * settings.counter_timeout_ms  # a call where none stands in line
         self._conform = {plan.name: PRIOR for plan in settings.plans}  # EWMA of the asked
         self._swept = -math.inf
         self._started = math.nan
@@ -344,7 +345,11 @@
         units, quota = led.asked.pop(event.name), led.quota
         current = event.name == name_of(led.customer, led.period)
         good = event.verdict is Verdict.OK
-        late = event.rtt_ms / max(self._settings.counter_timeout_ms, 1.0) if good else 1.0
+        late = 1.0
+        if good:
+            more = event.rtt_ms - self._near
+            self._near += (BASE_GAIN_DOWN if more < 0 else BASE_GAIN_UP) * more
+            late = max(more, 0.0) / max(self._settings.counter_timeout_ms, 1.0)
         step = CALL_GAIN * (1 - late / CALL_BUSY)
         self._chance = min(max(self._chance * math.exp(step), CALL_LEAST), CALL_MOST)
         if not good:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -8,7 +8,7 @@
 
 from martenstep import interface as api
 from martenstep.decide import MASK, Meter, name_of
-from tests.helpers import CAPPED, PLAIN, START, admit, answer, gateway, only, outcome, request
+from tests.helpers import CAPPED, PLAIN, SETTINGS, START, admit, answer, gateway, only, outcome, request
 
 
 def test_conforms_exactly_when_the_wait_is_over() -> None:
@@ -253,3 +253,34 @@
     made = gateway()
     actions = made.handle(START, request("r0", remaining=190.0))
     assert only(actions, api.Send) and not only(actions, api.Count)
+
+
+def asked_of(made: Gateway, rtt: float, times: int = 400) -> int:
+    """How many of so many strangers' tries are asked for, each call answered after this time."""
+    asked = 0
+    for number in range(times):
+        at = START + number * 10.0
+        for count in only(made.handle(at, request(f"t{number}", customer=1000 + number)), api.Count):
+            asked += 1
+            made.handle(at + rtt, api.Total(count.name, api.Verdict.OK, rtt, count.units))
+    return asked
+
+
+def test_a_long_way_to_the_counter_is_no_line_at_it() -> None:
+    """Answers a fifth of the time-out away, all alike, kept the chance of a call down as a crowd would."""
+    timeout = SETTINGS.counter_timeout_ms
+    assert asked_of(gateway(), timeout * 0.04) > 390
+    assert asked_of(gateway(), timeout * 0.45) > 390
+
+
+def test_a_line_at_the_counter_is_one() -> None:
+    made = gateway()
+    timeout = SETTINGS.counter_timeout_ms
+    assert asked_of(made, timeout * 0.1, 100) > 90
+    crowded = 0
+    for number in range(400):
+        at = START + 5000.0 + number * 10.0
+        for count in only(made.handle(at, request(f"c{number}", customer=5000 + number)), api.Count):
+            crowded += 1
+            made.handle(at + 40.0, api.Total(count.name, api.Verdict.OK, timeout * 0.8, count.units))
+    assert crowded < 200
