--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -664,6 +664,9 @@
             listed = {server.id for server in event.servers}
             self._addresses = {key: at for key, at in self._addresses.items() if key in listed}
         self._tell(api.Members(event.scope, event.servers))
+        for server in event.servers:  # one that is gone comes back under another number, if at all
+            if server.state is api.State.GONE:
+                self._addresses.pop(server.id, None)
 
     # Timers ---------------------------------------------------------------------------------------------
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -366,3 +366,12 @@
         rig.ask(customer="eve")
         rig.count_all(50.0)
     assert [tried.beyond for tried in rig.of(ev.Tried)] == [True] * len(rig.of(ev.Tried)) and rig.of(ev.Tried)
+
+
+def test_the_addresses_of_servers_that_have_gone_go_too() -> None:
+    """Servers replaced one by one under new numbers left theirs for good: 106 of 116 after four minutes."""
+    rig = Rig(servers=(1, 2))
+    for number in range(3, 200):
+        rig.tell(listed(number, scope=Scope.CHANGES))
+        rig.tell(listed(number - 2, scope=Scope.CHANGES, state=State.GONE))
+    assert rig.engine.held["servers"] == 2
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -7,7 +7,7 @@
 import pytest
 
 from martenstep import interface as api
-from martenstep.decide import MASK, Meter, name_of
+from martenstep.decide import MASK, Gateway, Meter, name_of
 from tests.helpers import CAPPED, PLAIN, SETTINGS, START, admit, answer, gateway, only, outcome, request
 
 
