A full house closes what is idle: strangers first, then the connection idle for longest

Cause: driver.py _make_room counted a connection that had sent one whole request as one that asks; strays asked /_health once and stayed, for up to 2 s each. Now a connection is known once a request of its got past the door's own checks; strangers without a request go first, then the longest idle.

--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -48,6 +48,7 @@
 PASS_BYTES = 65536  # of an answer that a slow client has not taken yet, before its server is read no further
 LINGER_BYTES = 262144  # of an unread body that are read and thrown away, so that a reset does not eat the answer
 LINGER_MS = 1000.0
+WEIGHED = (429, 502, 503, 504)  # answers of the door's own to requests that it took; others are faults of the client's
 
 
 class Body:
@@ -132,7 +133,7 @@
         self.since = now_ms()  # when it began to wait for a head
         self.partial = False  # a head has begun to come
         self.closing = False
-        self.spoken = False  # a whole request has come
+        self.known = False  # a request of its got past the door's own checks
         peer = writer.get_extra_info("peername")
         self.peer = str(peer[0]) if peer else ""
         protocol.on_lost = self._lost
@@ -177,7 +178,11 @@
     async def _head(self) -> RequestHead | None:
         self.since = now_ms()
         self.partial = bool(self.wire.waiting)
+        idle = self._driver.idle
+        if self.known:
+            idle[self] = None
         event = await self._event()
+        idle.pop(self, None)
         return event if isinstance(event, RequestHead) else None
 
     def _refuse_bytes(self, fault: Fault) -> None:
@@ -211,9 +216,6 @@
     async def _serve(self, request: RequestHead) -> None:
         """One request, to its final answer."""
         driver, headers, length = self._driver, request.headers, request.length
-        if not self.spoken:
-            self.spoken = True
-            driver.silent.pop(self, None)
         body: Body | None = None
         if length is not None and length > driver.listener.body_bytes:
             self.plain(413, "body too large")
@@ -339,15 +341,16 @@
                          upstream.all_connections)
         self.flights: dict[int, Flight] = {}
         self.clients: set[Client] = set()
-        self.silent: dict[Client, None] = {}  # of these, those that have sent no whole request, the oldest first
+        self.strangers: dict[Client, None] = {}  # of these, those that are not known yet, the oldest first
+        self.idle: dict[Client, None] = {}  # and those that are known and wait for a head, the longest first
         self.leaving = False  # serves what comes, and ends each connection with its answer
         self.stopping = False
         self.add: Callable[[int, int, float, float, bool], None] | None = None  # the store, where there is one
         self.record: Callable[[ev.Tried], None] | None = None  # the counter service, where there is one
         self.listen: Callable[[], None] | None = None  # the feed
         self.trace: Callable[[Trace], None] | None = None  # where traces go
-        self.counts: dict[str, int] = {"connections_turned_away": 0, "requests": 0, "attempts": 0, "replies": 0,
-                                       "passed": 0, "broken": 0, "handshakes_refused": 0}
+        self.counts: dict[str, int] = {"connections_turned_away": 0, "connections_closed_for_room": 0, "requests": 0,
+                                       "attempts": 0, "replies": 0, "passed": 0, "broken": 0, "handshakes_refused": 0}
         self._actions: deque[ev.Action] = deque()
         self._acting = False
         self._due: asyncio.TimerHandle | None = None
@@ -446,26 +449,36 @@
             writer.close()
             return
         self.clients.add(client)
-        self.silent[client] = None
+        self.strangers[client] = None
         task = self.loop.create_task(client.run())
         task.add_done_callback(lambda done: self._disconnected(client, done))
 
     def _make_room(self) -> bool:
-        """Close the connection that has said nothing for longest: whoever opens hundreds and says nothing must not keep
-        out those who ask.  False where all have asked."""
-        longest = next(iter(self.silent), None)
+        """Close a connection without a request: the oldest that never had one which could be taken, else the one that
+        has been idle for longest.  Whoever opens hundreds, and says nothing or asks once and stays, must not keep out
+        those who ask.  False where a request is open on every one."""
+        longest = next((one for one in self.strangers if one.flight is None), None) or next(iter(self.idle), None)
         if longest is None:
             return False
-        self.counts["connections_turned_away"] += 1
-        del self.silent[longest]
-        self.clients.discard(longest)
+        self.counts["connections_closed_for_room"] += 1
+        self._forget(longest)
         longest.closing = True
         longest.writer.close()
         return True
 
-    def _disconnected(self, client: Client, task: asyncio.Task[None]) -> None:
+    def _forget(self, client: Client) -> None:
         self.clients.discard(client)
-        self.silent.pop(client, None)
+        self.strangers.pop(client, None)
+        self.idle.pop(client, None)
+
+    def know(self, client: Client) -> None:
+        """A request of a client's has been weighed, whatever came of it."""
+        if not client.known:
+            client.known = True
+            self.strangers.pop(client, None)
+
+    def _disconnected(self, client: Client, task: asyncio.Task[None]) -> None:
+        self._forget(client)
         if not task.cancelled() and task.exception() is not None:
             self._note("fault", {"where": "client", "error": repr(task.exception())})
             client.abort()
@@ -553,6 +566,8 @@
         if flight is None:
             return
         self.counts["replies"] += 1
+        if action.status in WEIGHED:
+            self.know(flight.client)
         flight.client.answer(action.status, self._ending(flight, action.headers), [action.body])
         flight.finish()
 
@@ -561,6 +576,7 @@
         if flight is None:
             return
         self.counts["passed"] += 1
+        self.know(flight.client)
         headers, client = self._ending(flight, action.headers), flight.client
         if action.whole:
             client.answer(action.status, headers, flight.held)
--- a/tests/test_node_door.py
+++ b/tests/test_node_door.py
@@ -233,6 +233,35 @@
     run(test())
 
 
+def test_who_asks_once_and_stays_gives_way_too(tmp_path: Path) -> None:
+    """Connections that asked whether the door is ready, and stayed, kept out half of the usual clients."""
+    async def test() -> None:
+        async with place(tmp_path, serves, limits={"sockets": 64}) as door:
+            driver, most = door.node.driver, door.node.config.listener.max_connections
+            usual = await door.client()
+            await usual.write(request(1))
+            assert (await usual.response())[0] == 200
+            strays = [await door.client() for _ in range(most - 1)]
+            for number, peer in enumerate(strays):
+                await peer.write(f"GET {'/_health' if number % 2 else '/'} HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert (await peer.response())[0] in (200, 400)
+            assert len(driver.clients) == most
+            late = [await door.client() for _ in range(most - 1)]
+            for number, peer in enumerate(late):
+                await peer.write(request(10 + number))
+                assert (await peer.response())[0] == 200
+            for peer in strays:
+                assert await peer.rest() == b""
+            await usual.write(request(2))
+            assert (await usual.response())[0] == 200, "who was served before goes last"
+            assert (await door.ask(request(99)))[0] == 200, "and even then one that is idle makes room"
+            assert driver.counts["connections_closed_for_room"] == most
+            assert driver.counts["connections_turned_away"] == 0
+            for peer in [*late, usual]:
+                peer.close()
+    run(test())
+
+
 def test_a_reload_moves_discovery_and_counter(tmp_path: Path) -> None:
     async def test() -> None:
         asked: list[str] = []
