A stopping door serves standing connections on; faults end theirs; new ones are not closed

Now they are served for 2.2 s, closed with an answer for 0.3 s more. A new connection is not closed for room within 0.3 s: its first request may be on its way.

--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -43,11 +43,13 @@
     from martenstep.door.checks import Checks
     from martenstep.door.traces import Trace
 
+YOUNG_MS = 300.0  # a new connection is not closed for room: its first request may be on its way, and would be lost
 SWEEP_MS = 250.0  # how often idle and stalled connections are looked for
 BACKLOG = 1024  # connections that wait to be accepted
 PASS_BYTES = 65536  # of an answer that a slow client has not taken yet, before its server is read no further
 LINGER_BYTES = 262144  # of an unread body that are read and thrown away, so that a reset does not eat the answer
 LINGER_MS = 1000.0
+LAST_MS = 300.0  # of a stop: a connection that asks in this time is told to close; who does not ask is idle
 WEIGHED = (429, 502, 503, 504)  # answers of the door's own to requests that it took; others are faults of the client's
 
 
@@ -271,7 +273,7 @@
             return False
         if self.wire.again():
             return True
-        if self.wire.ends or not self.wire.read:
+        if not self.wire.read or self.wire.waiting:  # what is unread would turn the close into a reset
             await self._linger()
         return False
 
@@ -398,17 +400,26 @@
         self.counts["handshakes_refused"] += 1
         self._note("handshake refused", {"peer": peer, "reason": reason})
 
-    async def stop(self, within_ms: float, leave_ms: float = 0.0) -> bool:
+    async def stop(self, within_ms: float, leave_ms: float = 0.0, stay_ms: float = 0.0) -> bool:
         """Accept no more, answer what is held, leave in a bounded time; True where all was answered by itself.
 
-        For `leave_ms` before that it goes on accepting and serving, one answer a connection: what spreads the clients
-        takes so long to notice."""
-        self.leaving = True
+        Before that it serves on, for those whose clients need time to notice: it accepts for `leave_ms`, serves the
+        connections that stand for `stay_ms` in all, and ends each with an answer for `LAST_MS` more."""
+        begun = now_ms()
         if leave_ms:
             await asyncio.sleep(leave_ms / 1000)
-        self.stopping = True
         if self._server is not None:
             self._server.close()
+        if stay_ms:
+            await asyncio.sleep(max(begun + stay_ms - now_ms(), 0.0) / 1000)
+        self.leaving = True
+        if leave_ms or stay_ms:
+            await asyncio.sleep(LAST_MS / 1000)
+        self.stopping = True
+        for client in list(self.clients):
+            if client.flight is None:
+                client.closing = True
+                client.writer.close()
         until = now_ms() + within_ms
         for client in list(self.clients):
             if client.flight is None:
@@ -457,7 +468,10 @@
         """Close a connection without a request: the oldest that never had one which could be taken, else the one that
         has been idle for longest.  Whoever opens hundreds, and says nothing or asks once and stays, must not keep out
         those who ask.  False where a request is open on every one."""
-        longest = next((one for one in self.strangers if one.flight is None), None) or next(iter(self.idle), None)
+        young = now_ms() - YOUNG_MS
+        longest = next((one for one in self.strangers if one.flight is None and one.since < young), None)
+        if longest is None:
+            longest = next(iter(self.idle), None)
         if longest is None:
             return False
         self.counts["connections_closed_for_room"] += 1
--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-from martenstep.door.driver import Driver
+from martenstep.door.driver import LAST_MS, Driver
 from martenstep.door.engine import Engine
 from martenstep.door.events import Counted
 from martenstep.door.wires import now_ms
@@ -27,8 +27,11 @@
 from martenstep.node.protocol import Requests, parts_of
 
 LEAVE_MS = 600.0  # after SIGTERM the front still sends new connections for up to 0.4 s
+# And requests on those that stand, of customers that may come through this door only; SIGKILL comes 3.7 s after SIGTERM
+# at the soonest.
+STAY_MS = 2200.0
+ALL_MS = 3300.0  # after SIGTERM all is answered
 FIRST_LIST_MS = 1500.0  # the door is ready without discovery's word after this: it has the list as last known
-STOP_SPARE_MS = 200.0  # over the longest deadline, after which nothing that is held can still be served
 TELL_S = 5.0  # between two lines of totals
 GC_THRESHOLD = 20_000  # allocations between two looks for cycles: the request path makes few
 
@@ -124,13 +127,12 @@
                 "answers": self.engine.answers, "verdicts": self.engine.verdicts, **self.engine.held,
                 **self.driver.counts, "clients": len(self.driver.clients), "upstream": self.driver.pool.connections})
 
-    async def stop(self, leave_ms: float = LEAVE_MS) -> None:
+    async def stop(self, leave_ms: float = LEAVE_MS, stay_ms: float = STAY_MS) -> None:
         """Serve on for a while, answer what is held, end."""
         self._notes.note("stopping", {"open": self.engine.open})
-        longest = max((cls.deadline_ms for cls in self.config.settings.classes), default=0.0)
         if self._telling is not None:
             self._telling.cancel()
-        clean = await self.driver.stop(longest + STOP_SPARE_MS, leave_ms)
+        clean = await self.driver.stop(max(ALL_MS - stay_ms - LAST_MS, 0.0), leave_ms, stay_ms)
         self._discovery.stop()
         if self._counter is not None:
             self._counter.stop()
--- a/martenstep/node/protocol.py
+++ b/martenstep/node/protocol.py
@@ -35,6 +35,7 @@
 TOKEN = re.compile(rb"[0-9A-Za-z._~-]{1,64}")  # an id or a key: anything else could not be told from a fault
 SHARE = re.compile(rb"units=(\d{1,9}(?:\.\d{1,9})?), ?spread=(\d{1,6}), ?first=(\d{1,6})")
 DIGITS = re.compile(rb"\d{1,9}")
+ATTEMPTED = ("failed", "timed out")  # reasons of final answers that promise nothing
 IDS_MS = 6000.0  # an id is remembered for this: longer than any client waits for its answer
 MOST_IDS = 20_000  # of those: what more would take is memory that a stray client decides on
 SECOND_MS = 1000.0
@@ -182,11 +183,14 @@
         return [pair for pair in headers if pair[0] == LENGTH]
 
     def own(self, reason: str, label: str, wait_ms: float | None) -> tuple[Headers, bytes]:
-        """The reason as text, and when to come back."""
+        """The reason as text, and when to come back.  A fault of the client's ends its connection: strays ask once and
+        stay, by hundreds, and nobody else has faults."""
         body = reason.encode()
         headers = [(LENGTH, b"%d" % len(body))]
         if wait_ms is not None:
             headers.append((b"retry-after", b"%.3f" % (wait_ms / SECOND_MS)))
+        elif reason not in ATTEMPTED:
+            headers.append((b"connection", b"close"))
         return headers, body
 
 
--- a/tests/test_node_protocol.py
+++ b/tests/test_node_protocol.py
@@ -156,3 +156,4 @@
     assert (b"retry-after", b"0.250") in headers and (b"content-length", b"5") in headers and body == b"quota"
     headers, _ = Words().own("failed", "", None)
     assert [name for name, _ in headers] == [b"content-length"]
+    assert (b"connection", b"close") in Words().own("bad path", "", None)[0]
