A counter call in doubt is told as a time-out, so that its units are not counted twice

Cause: node/counter.py Lane.lost gave RESET for calls whose connection ended; the module takes all but TIMEOUT for 'nothing was added' and reports the units again (decide.py Quota.total), and so they stood twice in the counter: 3% of the calls where answers come spoilt, more where connections are reset. The store's and the counter service's clients say TIMEOUT.

--- a/martenstep/node/counter.py
+++ b/martenstep/node/counter.py
@@ -90,7 +90,7 @@
         """The connection is over: what was out on it may have been added."""
         out, self.out = self.out, deque()
         for call in out:
-            self._answered(call, Verdict.RESET, 0.0)
+            self._answered(call, Verdict.TIMEOUT, 0.0)  # the module's word for what may have been added
 
 
 class _Link(asyncio.Protocol):
