--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -123,6 +123,9 @@
         self._seed = seed
         self._timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._order = 0
+        # Bound once, so that a timer is known by its object.
+        self._at_uncounted, self._at_deadline, self._at_unconnected = (
+            self._uncounted, self._deadline, self._unconnected)
         self._calls: dict[int, tuple[int, float]] = {}  # Adds out: name, and since when
         self._out: list[ev.Action] = []
         self._todo: deque[api.Event] = deque()  # what the module is to be told next
@@ -158,7 +161,10 @@
 
     def next_at(self) -> float | None:
         """When the next Tick is due."""
-        own = self._timers[0][0] if self._timers else None
+        timers = self._timers
+        while timers and self._passed_by(timers[0][2], timers[0][3]):
+            heapq.heappop(timers)
+        own = timers[0][0] if timers else None
         asked = self._auth.next_at() if self._auth is not None else None
         return own if asked is None else asked if own is None else min(own, asked)
 
@@ -215,7 +221,7 @@
             case api.Count(name=name, units=units, expire_ms=expire_ms, proof=proof):
                 self._serial += 1
                 self._calls[self._serial] = name, self._now
-                self._timer(self._now + self.settings.counter_timeout_ms + COUNT_GRACE_MS, self._uncounted,
+                self._timer(self._now + self.settings.counter_timeout_ms + COUNT_GRACE_MS, self._at_uncounted,
                             self._serial)
                 self._out.append(ev.Add(self._serial, name, units, expire_ms, proof))
             case api.Wake(at_ms=at, token=token):
@@ -267,7 +273,7 @@
             parent = trace.outgoing(trace.begin("attempt", self._now, attempt=number, server=action.server))
         headers = wording.headers(head.headers, copied, given, exchange.label, exchange.rid, number, left, head.peer,
                                   parent, exchange.routed.cls.effect is api.Effect.KEYED)
-        self._timer(min(self._now + self._connect_ms, exchange.deadline), self._unconnected, exchange.ticket, number)
+        self._timer(min(self._now + self._connect_ms, exchange.deadline), self._at_unconnected, exchange.ticket, number)
         self._out.append(ev.Open(exchange.ticket, number, action.server, address, head.method, target, headers,
                                  self._deliver_by(exchange)))
 
@@ -448,7 +454,7 @@
             exchange.edition = self._shelf.edition
         self._exchanges[event.ticket] = self._rids[rid] = exchange
         self._open += 1
-        self._timer(exchange.deadline, self._deadline, event.ticket)
+        self._timer(exchange.deadline, self._at_deadline, event.ticket)
         if guarded is not None:
             exchange.guarded = guarded
             self._ask(exchange, guarded, remaining)
@@ -468,7 +474,7 @@
             if routed.cls.deadline_ms < before.cls.deadline_ms:  # an earlier end takes effect, a later one never
                 exchange.deadline = min(exchange.deadline,
                                         max(exchange.arrived + routed.cls.deadline_ms - self._margin, self._now))
-                self._timer(exchange.deadline, self._deadline, exchange.ticket)
+                self._timer(exchange.deadline, self._at_deadline, exchange.ticket)
         exchange.routed, exchange.told = routed, True
         self._tell(api.Request(exchange.rid, routed.cls.name, routed.plan.name, routed.customer,
                                max(exchange.deadline - self._now, 0.0), routed.units, routed.spread, routed.first,
@@ -670,6 +676,17 @@
 
     # Timers ---------------------------------------------------------------------------------------------
 
+    def _passed_by(self, what: Callable[..., None], words: tuple[Any, ...]) -> bool:
+        """Whether a timer's cause has passed: most have by their time, and each would wake the process for nothing."""
+        if what is self._at_uncounted:
+            return words[0] not in self._calls
+        if what is self._at_deadline:
+            return words[0] not in self._exchanges
+        if what is self._at_unconnected:
+            live = self._live(*words)
+            return live is None or live[1].written
+        return False
+
     def _timer(self, at: float, what: Callable[..., None], *words: Any) -> None:
         self._order += 1
         heapq.heappush(self._timers, (at, self._order, what, words))
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -375,3 +375,22 @@
         rig.tell(listed(number, scope=Scope.CHANGES))
         rig.tell(listed(number - 2, scope=Scope.CHANGES, state=State.GONE))
     assert rig.engine.held["servers"] == 2
+
+
+def test_a_timer_whose_cause_has_passed_wakes_nobody() -> None:
+    """Of 2,400 wakings in 20 s of a calm day most were for connections made, calls answered and requests served."""
+    rig = Rig()
+    ticket = rig.ask("/pay/1")
+    assert rig.engine.next_at() == rig.now + 200.0, "no connection within its time"
+    rig.write(ticket)
+    silence = rig.engine.next_at()  # the module's own look at what may be silent
+    assert silence is not None and rig.now + 200.0 < silence < rig.now + 4000.0
+    rig.serve(ticket)
+    rig.now = silence
+    rig.tell(ev.Tick())
+    assert rig.engine.next_at() is None and rig.engine.held["timers"] == 0, "nor its deadline"
+    counted = rig.ask(customer="anna")
+    assert rig.of(ev.Add)
+    rig.count_all(1.0)
+    rig.serve(counted)
+    assert rig.engine.next_at() != rig.now + 51.0, "nor a call that is answered"
