A silent connection to discovery is given up well within a drain's second

All four doors' watches fell silent at the opening and were given up after 11.5 s, through half of a release; later watches were reset, some with an answer half written, which counts as told. Cause: discovery.py waited 1 s for a connection and 1.5 s for the whole list on a new one, which may be silent too: more than the 1 s that a drain leaves. Ruled out: the order of lists, and sends to servers listed as draining. Now a watch is held for 1.5 s, an answer is late after 0.25 s, a connection after 0.2 s.

--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -21,10 +21,12 @@
 from martenstep.node.config import ConfigError, address_of
 
 PATH = "/catalog/members"
-WAIT_MS = 10_000  # a watch is held for this at most
-LATE_MS = 1500.0  # an answer that is so late is not coming: the agent's connection may be gone without a word
-CONNECT_S = 1.0
-AGAIN_LEAST_MS, AGAIN_MOST_MS = 50.0, 1000.0  # between calls that fail
+# The agent is on this machine and answers at once.  What it wrote to a connection that broke counts as told, and a drain
+# binds within a second of that: a new connection that is silent as well must be given up well before.
+WAIT_MS = 1500  # a watch is held for this at most: so long a list can be stale where its connection falls silent
+LATE_MS = 250.0  # an answer that is so late is not coming
+CONNECT_S = 0.2
+AGAIN_LEAST_MS, AGAIN_MOST_MS = 10.0, 250.0  # between calls that fail
 READ_BYTES = 65_536
 ANSWER_BYTES = 4 << 20  # of one answer: thousands of backends
 STATES = {"ready": State.UP, "draining": State.DRAINING, "gone": State.GONE}
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -10,7 +10,8 @@
 
 from martenstep.interface import Scope, State
 from martenstep.members.lists import Listed
-from martenstep.node.discovery import Discovery, DiscoveryError, Follower
+from martenstep.node import discovery
+from martenstep.node.discovery import CONNECT_S, LATE_MS, WAIT_MS, Discovery, DiscoveryError, Follower
 from tests.node_rig import target
 from tests.socket_rig import Back, Peer, run
 
@@ -105,3 +106,35 @@
         first.stop()
         second.stop()
     run(test())
+
+
+def test_a_silent_connection_is_given_up_well_within_a_drains_second(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Broken on the users' bench: a watch was reset, the next connection silent, and a drain told meanwhile."""
+    assert WAIT_MS + LATE_MS < 2000.0
+    assert 2 * (CONNECT_S * 1000.0 + LATE_MS) < 1000.0, "two in a row"
+    monkeypatch.setattr(discovery, "WAIT_MS", 10)
+    monkeypatch.setattr(discovery, "LATE_MS", 20.0)
+    asked: list[str] = []
+
+    async def test() -> None:
+        async def agent(peer: Peer) -> None:
+            turn = len(asked)
+            asked.append((await peer.head()).split()[1])
+            if turn in (1, 2):
+                await peer.rest()
+            await peer.write(answer(told(turn, True, target(f"s-{turn}"))))
+            if turn == 0:
+                asked.append((await peer.head()).split()[1])
+            await peer.rest()
+
+        back = Back(agent)
+        lists: list[Listed] = []
+        made = Discovery(("127.0.0.1", await back.start()), Follower(), lists.append, lambda event, fields: None)
+        made.start()
+        while len(lists) < 2:
+            await asyncio.sleep(0.001)
+        assert asked[0] == "/catalog/members" and "after=0" in asked[1]
+        assert asked[2:4] == ["/catalog/members"] * 2, "the whole list, on one new connection after the other"
+        made.stop()
+        back.stop()
+    run(test())
