--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -21,8 +21,8 @@
 from martenstep.node.config import ConfigError, address_of
 
 PATH = "/catalog/members"
-# The agent is on this machine and answers at once.  What it wrote to a connection that broke counts as told, and a drain
-# binds within a second of that: a new connection that is silent as well must be given up well before.
+# The agent is on this machine and answers at once.  What it wrote to a connection that broke counts as told, and a
+# drain binds within a second of that: a new connection that is silent as well must be given up well before.
 WAIT_MS = 1500  # a watch is held for this at most: so long a list can be stale where its connection falls silent
 LATE_MS = 250.0  # an answer that is so late is not coming
 CONNECT_S = 0.2
