--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -404,15 +404,15 @@
         """Accept no more, answer what is held, leave in a bounded time; True where all was answered by itself.
 
         Before that it serves on, for those whose clients need time to notice: it accepts for `leave_ms`, serves the
-        connections that stand for `stay_ms` in all, and ends each with an answer for `LAST_MS` more."""
+        connections that stand for `stay_ms` in all and `LAST_MS` more, and ends each with an answer."""
         begun = now_ms()
+        self.leaving = True
         if leave_ms:
             await asyncio.sleep(leave_ms / 1000)
         if self._server is not None:
             self._server.close()
         if stay_ms:
             await asyncio.sleep(max(begun + stay_ms - now_ms(), 0.0) / 1000)
-        self.leaving = True
         if leave_ms or stay_ms:
             await asyncio.sleep(LAST_MS / 1000)
         self.stopping = True
