Membership among the doors: core without I/O, fleets broken in virtual time, a judge

`lab/fleet`: schedules as text, wires, the play in virtual time on the same core, a judge that reads only records. Off: nothing imports it yet.

Five seeded flaws are each caught by the judge.

--- /dev/null
+++ b/tests/test_fleet_virtual.py
@@ -0,0 +1,149 @@
+"""Schedules in virtual time: the hard cases keep the judge's rules, and seeded flaws of the core break them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from martenstep.config.text import Faults
+from martenstep.lab.fleet.judge import Verdict, judge
+from martenstep.lab.fleet.plays import play
+from martenstep.lab.fleet.records import Belief, Held, Truth, View, read_records, write_records
+from martenstep.lab.fleet.schedule import parse_schedule, steps_of
+from martenstep.lab.fleet.virtual import World
+from martenstep.members.gossip.core import Gossip
+from martenstep.members.gossip.facts import Fact, State, with_state
+from martenstep.members.gossip.wire import Keys
+
+FOLDER = Path(__file__).resolve().parents[1] / "days" / "fleet"
+QUICK = ("pauses", "half-paused", "pair-one-way", "unheard", "deaf", "zone-one-way", "three-groups", "halves",
+         "flapping-link", "flapping-process", "third-lost", "all-restarted", "seeds-lost", "names", "forged")
+PAUSE = ('name: "p" members: 6 length_ms: 12000 settle_ms: 8000 '
+         'trouble { what: PAUSE who: "d003" at_ms: 2000 for_ms: 2300 }')
+# Those who suspect d003 stand until long after it has refuted that.
+TURNS = ('name: "t" members: 6 length_ms: 40000 settle_ms: 20000 '
+         'trouble { what: PAUSE who: "d003" at_ms: 2000 for_ms: 2000 } '
+         'trouble { what: PAUSE who: "d000,d001,d002,d004,d005" at_ms: 3500 for_ms: 28000 }')
+SPOILT = ('name: "s" members: 6 length_ms: 12000 settle_ms: 5000 trouble { what: CORRUPT share: 0.5 at_ms: 0 }')
+GONE = ('name: "g" members: 6 length_ms: 110000 settle_ms: 5000 reclaim_ms: 20000 '
+        'trouble { what: KILL who: "d003" at_ms: 2000 }')
+
+
+@pytest.mark.parametrize("name", QUICK)
+def test_a_hard_case_keeps_every_rule(name: str) -> None:
+    played = play((FOLDER / f"{name}.txtpb").read_text(), name, seed=11)
+    assert played.breaches == []
+    assert played.figures["false_deaths"] == 0
+
+
+def test_every_schedule_in_the_folder_is_well_formed() -> None:
+    files = sorted(FOLDER.glob("*.txtpb"))
+    assert len(files) > len(QUICK)
+    for file in files:
+        assert parse_schedule(file.read_text(), str(file)).name == file.stem
+
+
+def _plain(text: str, make: Callable[..., Gossip], seeds: range = range(3)) -> list[str]:
+    schedule = parse_schedule(text, "x")
+    return [breach for seed in seeds for breach in judge(schedule, World(schedule, seed, make).play()).breaches]
+
+
+class TimersTrusted(Gossip):
+    """Flaw: what ran out while the process stood is believed."""
+
+    def _enter(self, now: float) -> None:
+        return
+
+    def _ran_out(self, now: float, name: str) -> None:
+        fact = self.table.get(name)
+        if name in self._suspicions and now >= self._suspicions[name].until and fact is not None:
+            self._take(now, with_state(fact, State.DEAD, self.me.name))
+
+
+class NotRaised(Gossip):
+    """Flaw: refutes under the same incarnation."""
+
+    def _take_of_me(self, now: float, fact: Fact) -> None:
+        if fact.holder == self.me.holder and fact.state is not State.ALIVE:
+            self._spread.put(self.me)
+
+
+class NeverReclaimed(Gossip):
+    """Flaw: the dead are held for ever."""
+
+    def _housekeeping(self, now: float) -> None:
+        self._look_at = float("inf")
+        super()._housekeeping(now)
+
+
+class NoRefutation(Gossip):
+    """Flaw: who hears that it is suspected says nothing."""
+
+    def _take_of_me(self, now: float, fact: Fact) -> None:
+        return
+
+
+class Open(Keys):
+    """Flaw: every seal is believed."""
+
+    def opens(self, data: bytes | memoryview, mac: bytes) -> bool:
+        return True
+
+
+def _unsealed(settings: Any, me: Any, keys: Any, *rest: Any) -> Gossip:
+    return Gossip(settings, me, Open([b"x"]), *rest)
+
+
+@pytest.mark.parametrize(("text", "flaw", "rule"), [
+    (TURNS, TimersTrusted, "alive"), (PAUSE, NotRaised, "alive"), (GONE, NeverReclaimed, "forget"),
+    (PAUSE, NoRefutation, "alive"), (SPOILT, _unsealed, "agree"),
+])
+def test_the_judge_catches_a_seeded_flaw(text: str, flaw: Callable[..., Gossip], rule: str) -> None:
+    assert _plain(text, Gossip) == []
+    assert any(breach.startswith(rule) for breach in _plain(text, flaw))
+
+
+def test_a_play_is_the_same_for_the_same_seed(tmp_path: Path) -> None:
+    text = (FOLDER / "halves.txtpb").read_text()
+    for name in ("a", "b"):
+        play(text, "x", 5, tmp_path / name)
+    assert (tmp_path / "a" / "records.jsonl").read_bytes() == (tmp_path / "b" / "records.jsonl").read_bytes()
+    assert len(list(read_records(tmp_path / "a" / "records.jsonl"))) > 100
+
+
+def _judged(*records: Truth | Belief | View) -> Verdict:
+    schedule = parse_schedule('name: "x" members: 2 seeds: 1', "x")
+    lives = [Truth(0, "started", name, name, {"life": number}) for number, name in enumerate(("d000", "d001"))]
+    return judge(schedule, [*lives, Truth(1, "begins"), *records])
+
+
+def test_the_judge_reads_rules_from_records_alone(tmp_path: Path) -> None:
+    whole = [Held("d000", "alive", 0, 0), Held("d001", "alive", 1, 0)]
+    views = [View(90_000, name, "joined", whole) for name in ("d000", "d001")]
+    assert _judged(*views).kept
+    dead = Belief(80_000, "d000", "dead", "d001", {"by": "d000", "incarnation": 1})
+    assert [breach[:5] for breach in _judged(dead, *views).breaches] == ["alive"]
+    stood = [Truth(70_000, "paused", "d001", "d001"), Truth(75_000, "resumed", "d001", "d001")]
+    assert _judged(*stood, dead, *views).kept
+    accused = Belief(75_500, "d001", "suspect", "d000", {"by": "d001"})
+    assert [breach[:7] for breach in _judged(*stood, accused, *views).breaches] == ["witness"]
+    short = View(90_000, "d001", "joined", whole[1:])
+    assert _judged(views[0], short).breaches == ["agree: d001 lacks d000 at the end"]
+    write_records(tmp_path / "r", [dead, *views])
+    assert list(read_records(tmp_path / "r")) == [dead, *views]
+
+
+def test_faults_of_a_schedule_are_told_with_their_place() -> None:
+    with pytest.raises(Faults) as told:
+        parse_schedule('name: "x"\ntrouble { what: LOSS at_ms: -1 }\ntrouble { what: PAUSE who: "nobody" }', "f")
+    text = "\n".join(fault.told("f") for fault in told.value.faults)
+    assert "f:2" in text and "share" in text and "at_ms" in text and "who" in text and "for_ms" in text
+
+
+def test_a_schedule_is_drawn_the_same_from_the_same_seed() -> None:
+    schedule = parse_schedule((FOLDER / "third-lost.txtpb").read_text(), "x")
+    assert steps_of(schedule, 3) == steps_of(schedule, 3) != steps_of(schedule, 4)
+    assert len({name for step in steps_of(schedule, 3) for name in step.who}) == 8
--- /dev/null
+++ b/tests/test_gossip_core.py
@@ -0,0 +1,424 @@
+"""The membership core alone: sayings, seals, replays, and what a door does about its own faults."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule, run_state_machine_as_test
+
+from martenstep.members.gossip import wire
+from martenstep.members.gossip.core import Address, Datagram, Dial, Event, Gossip, Settings, Stage
+from martenstep.members.gossip.facts import BUCKETS, Fact, State, Table, with_state
+from martenstep.members.gossip.holders import holders
+from martenstep.members.gossip.spreading import Spread, suspicion_ms
+from martenstep.members.gossip.wire import Keys
+
+KEY, OTHER = b"k" * 32, b"o" * 32
+AT = 1000.0
+SETTINGS = Settings("c", seeds=(("10.0.0.1", 1),))
+
+
+def fact(number: int, **changes: object) -> Fact:
+    made = Fact(f"d{number}", 0, 100 + number, 1, State.ALIVE, 1000 + number, f"10.0.0.{number}", 1, "z")
+    return msgspec.structs.replace(made, **changes)
+
+
+class Net:
+    """A few cores whose datagrams and exchanges are carried by hand."""
+
+    def __init__(self, number: int, settings: Settings = SETTINGS) -> None:
+        self.now = AT
+        self.settings = settings
+        self.cores: dict[Address, Gossip] = {}
+        self.events: list[tuple[str, Event]] = []
+        self.cut: set[tuple[str, str]] = set()
+        self.wire: list[tuple[str, Datagram]] = []
+        for each in range(1, number + 1):
+            self.start(fact(each))
+
+    def start(self, me: Fact, keys: Keys | None = None) -> Gossip:
+        core = Gossip(self.settings, me, keys or Keys([KEY]), random.Random(me.life), self.now)
+        self.cores[me.address] = core
+        return core
+
+    def core(self, number: int) -> Gossip:
+        return self.cores[f"10.0.0.{number}", 1]
+
+    def collect(self) -> None:
+        for core in list(self.cores.values()):
+            actions, core.out = core.out, []
+            for action in actions:
+                if isinstance(action, Datagram):
+                    self.wire.append((core.me.name, action))
+                elif isinstance(action, Dial):
+                    self._exchange(core, action)
+                else:
+                    self.events.append((core.me.name, action))
+
+    def _exchange(self, core: Gossip, dial: Dial) -> None:
+        body: bytes | None = core.exchange_opens(dial.token)
+        while body is not None:
+            target = self.cores.get(dial.to)
+            answer = None
+            if target is not None and not {(core.me.name, target.me.name), (target.me.name, core.me.name)} & self.cut:
+                try:
+                    answer = target.exchange_serves(self.now, body)
+                except wire.WireError:
+                    answer = None
+            body = core.exchange_answered(self.now, dial.token, answer)
+
+    def deliver(self) -> None:
+        """All that is on its way."""
+        for _ in range(20):
+            self.collect()
+            if not self.wire:
+                return
+            sent, self.wire = self.wire, []
+            for source, each in sent:
+                target = self.cores.get(each.to)
+                if target is not None and (source, target.me.name) not in self.cut:
+                    target.datagram(self.now, each.data)
+
+    def run(self, ms: float, asleep: frozenset[str] = frozenset()) -> None:
+        """Let time pass in steps of 10 ms."""
+        until = self.now + ms
+        while self.now < until:
+            self.now += 10.0
+            for core in list(self.cores.values()):
+                if core.me.name not in asleep and core.next_at <= self.now:
+                    core.wake(self.now)
+            self.deliver()
+
+    def kinds(self, kind: str) -> list[tuple[str, str]]:
+        return [(who, event.name) for who, event in self.events if event.kind == kind]
+
+
+def test_doors_find_each_other_and_agree() -> None:
+    net = Net(5)
+    net.run(4000)
+    assert {core.stage for core in net.cores.values()} == {Stage.JOINED}
+    assert {core.table.digest for core in net.cores.values()} == {net.core(1).table.digest}
+    assert all(core.table.present == 5 for core in net.cores.values())
+
+
+def test_a_member_that_is_gone_is_told_dead_to_all_and_one_that_leaves_as_left() -> None:
+    net = Net(5)
+    net.run(4000)
+    del net.cores["10.0.0.4", 1]
+    net.core(5).leave(net.now)
+    net.run(9000)
+    for number in (1, 2, 3):
+        states = {each.name: each.state for each in net.core(number).table}
+        assert states["d4"] is State.DEAD and states["d5"] is State.LEFT
+    assert ("d5", "d5") in net.kinds("gone")
+
+
+def test_one_that_stood_still_accuses_nobody_and_refutes_what_was_said_of_it() -> None:
+    net = Net(5)
+    net.run(4000)
+    asleep = net.cores.pop(("10.0.0.3", 1))
+    net.run(2000)
+    assert net.kinds("suspect")
+    net.cores["10.0.0.3", 1] = asleep
+    asleep.wake(net.now)
+    net.events.clear()
+    net.run(5000)
+    assert not net.kinds("suspect") and not net.kinds("dead")
+    assert asleep.counts["stood"] == 1 and asleep.me.incarnation > 1
+    assert all(each.state is State.ALIVE for core in net.cores.values() for each in core.table)
+
+
+def test_a_suspicion_that_ran_out_while_a_door_stood_kills_nobody() -> None:
+    net = Net(5)
+    net.run(4000)
+    watcher = net.core(1)
+    accused = watcher.table.get("d3")
+    assert accused is not None
+    watcher._take(net.now, with_state(accused, State.SUSPECT, "d2"))
+    net.run(10)
+    held = net.cores.pop(("10.0.0.1", 1))
+    net.run(10)
+    net.wire.clear()
+    net.now += 60_000.0  # all of them stand, and d3's refutation waits in the socket
+    net.cores["10.0.0.1", 1] = held
+    for core in net.cores.values():
+        core.wake(net.now)
+    net.run(6000)
+    assert not net.kinds("dead")
+
+
+def test_a_deaf_door_says_so_accuses_nobody_and_is_not_called_dead() -> None:
+    net = Net(5)
+    net.run(4000)
+    net.cut = {(f"d{number}", "d3") for number in (1, 2, 4, 5)}
+    net.run(20_000)
+    assert net.core(3).deaf
+    assert ("d1", "d3") not in net.kinds("dead")
+    assert all(about == "d3" for _, about in net.kinds("suspect"))
+    net.cut.clear()
+    net.run(5000)
+    assert not net.core(3).deaf and all(core.table.present == 5 for core in net.cores.values())
+
+
+def test_a_door_that_nobody_hears_says_so_and_accuses_nobody() -> None:
+    net = Net(5)
+    net.run(4000)
+    net.cut = {("d3", f"d{number}") for number in (1, 2, 4, 5)}
+    net.run(25_000)
+    assert net.core(3).unheard and not net.core(3).deaf
+    assert all(each.state is State.ALIVE for each in net.core(3).table)
+    dead = net.core(1).table.get("d3")
+    assert dead is not None and dead.state is State.DEAD
+    net.cut.clear()
+    net.run(6000)
+    assert not net.core(3).unheard and net.core(1).table.present == 5
+
+
+def test_a_name_that_runs_elsewhere_is_refused_and_its_holder_stays() -> None:
+    net = Net(4)
+    net.run(4000)
+    twin = net.start(fact(9, name="d3"))
+    net.run(6000)
+    assert twin.stage.value == "refused" and ("d3", "d3") in net.kinds("refused")
+    held = net.core(1).table.get("d3")
+    assert held is not None and held.identity == 103
+    del net.cores["10.0.0.3", 1]
+    net.run(25_000)  # the holder is dead: now the name is free
+    held = net.core(1).table.get("d3")
+    assert twin.joined
+    assert held is not None and (held.identity, held.era) == (109, 1)
+
+
+def test_a_lost_disk_under_an_old_name_at_the_old_address_takes_it_over_at_once() -> None:
+    net = Net(4)
+    net.run(4000)
+    del net.cores["10.0.0.3", 1]
+    net.start(fact(3, identity=555, life=777))
+    net.run(1500)
+    held = net.core(1).table.get("d3")
+    assert held is not None and (held.identity, held.life, held.era) == (555, 777, 1)
+    assert ("d1", "d3") in net.kinds("replaced")
+
+
+def test_an_old_disk_comes_back_above_what_is_known_of_it() -> None:
+    net = Net(4)
+    net.run(4000)
+    net.core(3)._say(net.now, incarnation=9)
+    net.run(2000)
+    del net.cores["10.0.0.3", 1]
+    net.start(fact(3, incarnation=2, life=888))
+    net.run(2000)
+    held = net.core(1).table.get("d3")
+    assert held is not None and held.life == 888 and held.incarnation == 10
+
+
+def test_a_restarted_receiver_is_reached_though_its_life_is_not_known() -> None:
+    net = Net(3)
+    net.run(4000)
+    core = net.core(2)
+    again = Gossip(SETTINGS, msgspec.structs.replace(core.me, life=4242), Keys([KEY]), random.Random(1), net.now)
+    again.stage = Stage.JOINED
+    for each in core.table:
+        if each.name != "d2":
+            again.table.put(net.now, each)
+    net.cores["10.0.0.2", 1] = again
+    net.run(3000)
+    assert again.counts["dropped_life"] and not net.kinds("dead")
+    assert again.counts["received"]
+
+
+def test_views_that_differ_in_silence_are_made_the_same_by_an_exchange() -> None:
+    net = Net(4)
+    net.run(4000)
+    net.core(1).table.put(net.now, fact(8, state=State.LEFT))  # without a word to others
+    net.run(20_000)
+    assert all(core.table.get("d8") is not None for core in net.cores.values())
+
+
+def test_replays_and_forged_datagrams_change_nothing() -> None:
+    net = Net(3)
+    net.run(4000)
+    core = net.core(1)
+    net.collect()
+    kept: list[Datagram] = []
+    for _ in range(300):
+        net.now += 10
+        for each in net.cores.values():
+            if each.next_at <= net.now:
+                each.wake(net.now)
+        net.collect()
+        kept += [each for _, each in net.wire if each.to == core.me.address]
+        net.deliver()
+    assert kept
+    before = core.table.digest, core.table.version, len(core._windows)
+    for old in kept:
+        core.datagram(net.now, old.data)
+    assert core.counts["dropped_replay"] == len(kept)
+    spoilt = bytearray(kept[0].data)
+    spoilt[40] ^= 1
+    core.datagram(net.now, bytes(spoilt))
+    assert core.counts["dropped_mac"] == 1
+    restarted = Gossip(SETTINGS, fact(1, life=31337), Keys([KEY]), random.Random(2), net.now)
+    restarted.stage = Stage.JOINED
+    for old in kept:
+        restarted.datagram(net.now, old.data)
+    assert len(restarted.table) == 1 and restarted.counts["dropped_life"] == len(kept)
+    assert before == (core.table.digest, core.table.version, len(core._windows))
+
+
+@given(st.binary(max_size=1400))
+def test_no_bytes_crash_a_core_or_change_its_view(data: bytes) -> None:
+    net = Net(2)
+    core = net.core(1)
+    core.datagram(AT, data)
+    assert len(core.table) == 1 and not core.counts["received"]
+    with pytest.raises(wire.WireError):
+        core.exchange_serves(AT, b"\xc1" + data)
+
+
+@given(st.binary(max_size=600))
+def test_no_sealed_body_crashes_a_core(body: bytes) -> None:
+    core = Net(2).core(1)
+    keys = Keys([KEY])
+    head = wire.HEAD.pack(b"MG", 1, 0, wire.cluster_number("c"), 7, core.me.life, 1) + body
+    core.datagram(AT, head + keys.seal(head))
+    assert sum(core.counts[f"dropped_{why}"] for why in ("body", "length")) == 1 or core.counts["received"]
+
+
+def test_keys_change_door_by_door_and_other_clusters_are_not_heard() -> None:
+    both, new = Keys([OTHER, KEY]), Keys([OTHER])
+    assert new.opens(b"x", both.seal(b"x")) and both.opens(b"x", Keys([KEY]).seal(b"x"))
+    assert not new.opens(b"x", Keys([KEY]).seal(b"x"))
+    net = Net(1)
+    foreign = Gossip(replace(SETTINGS, cluster="other"), fact(2), Keys([KEY]), random.Random(1), AT)
+    foreign._send(("10.0.0.1", 1), 1001, wire.Relayed(wire.Sender("d2", "10.0.0.2", 1), 1, True))
+    (sent,) = [each for each in foreign.out if isinstance(each, Datagram)]
+    net.core(1).datagram(AT, sent.data)
+    assert net.core(1).counts["dropped_cluster"] == 1
+
+
+facts = st.builds(fact, st.integers(1, 4), era=st.integers(0, 2), identity=st.integers(1, 3),
+                  incarnation=st.integers(0, 3), state=st.sampled_from(State))
+
+
+@given(st.lists(facts, max_size=20), st.randoms())
+def test_the_table_is_the_same_whatever_the_order(told: list[Fact], rng: random.Random) -> None:
+    def of(order: list[Fact]) -> Table:
+        table = Table()
+        for each in order:
+            before = table.get(each.name)
+            if before is None or each.rank > before.rank:
+                table.put(AT, each)
+        return table
+    mixed = list(told)
+    rng.shuffle(mixed)
+    one, other = of(told), of(mixed)
+    assert {each.name: each.rank for each in one} == {each.name: each.rank for each in other}
+    assert one.digests == other.digests and one.present == sum(each.present for each in one)
+    for each in list(one):
+        one.drop(each.name)
+    assert one.digests == [0] * BUCKETS and one.present == 0
+
+
+members = st.dictionaries(st.text("abcdef", min_size=1, max_size=4), st.sampled_from("xyz"), min_size=1, max_size=12)
+
+
+@given(members, st.integers(1, 5), st.data())
+def test_a_member_lost_moves_only_its_own_share(zones: dict[str, str], count: int, data: st.DataObject) -> None:
+    lost = data.draw(st.sampled_from(sorted(zones)))
+    for key in map(str, range(20)):
+        before = holders(key, zones.items(), count)
+        after = holders(key, [item for item in zones.items() if item[0] != lost], count)
+        assert len(set(before)) == min(count, len(zones))
+        if lost not in before:
+            assert after == before
+        else:
+            assert set(before) - {lost} <= set(after)
+        assert len({zones[name] for name in before}) == min(count, len(set(zones.values())))
+
+
+def test_holders_are_spread_evenly() -> None:
+    names = [(f"d{number}", f"z{number % 3}") for number in range(9)]
+    held = [holders(str(key), names, 3)[0] for key in range(3000)]
+    assert all(200 < held.count(name) < 470 for name, _ in names)
+
+
+def test_each_saying_is_told_a_bounded_number_of_times_the_newest_first() -> None:
+    spread = Spread()
+    spread.put(fact(1))
+    first = spread.take(1000, 99)
+    spread.put(fact(2))
+    assert spread.take(len(first[0]), 99) == [wire.encode(fact(2))]
+    times = 2
+    while spread.take(1000, 99):
+        times += 1
+    assert times == 9 and not len(spread)
+
+
+def test_a_single_accuser_kills_slowly() -> None:
+    alone, more = suspicion_ms(24, 0, 500, 4000), [suspicion_ms(24, others, 500, 4000) for others in (1, 2, 3, 9)]
+    assert alone == 24_000 and more == sorted(more, reverse=True) and more[-1] == 4000
+    assert suspicion_ms(3, 0, 500, 4000) == 4000
+
+
+class Fleet(RuleBasedStateMachine):
+    """Four doors whose datagrams are lost, doubled, held back and mixed; at the end all agree."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.net = Net(4)
+        self.rank: dict[tuple[str, str], tuple[int, int, int]] = {}
+
+    @initialize()
+    def joined(self) -> None:
+        self.net.run(3000)
+
+    @rule(ms=st.integers(10, 700))
+    def time(self, ms: int) -> None:
+        self.net.run(ms)
+
+    @rule(number=st.integers(1, 4), ms=st.integers(200, 9000))
+    def stands(self, number: int, ms: int) -> None:
+        self.net.run(ms, asleep=frozenset({f"d{number}"}))
+
+    @rule(one=st.integers(1, 4), other=st.integers(1, 4), ms=st.integers(200, 9000))
+    def cut(self, one: int, other: int, ms: int) -> None:
+        self.net.cut = {(f"d{one}", f"d{other}")}
+        self.net.run(ms)
+        self.net.cut = set()
+
+    @rule(data=st.data(), ms=st.integers(10, 200))
+    def mixed(self, data: st.DataObject, ms: int) -> None:
+        self.net.now += ms
+        for core in self.net.cores.values():
+            if core.next_at <= self.net.now:
+                core.wake(self.net.now)
+        self.net.collect()
+        sent = self.net.wire
+        if sent:
+            self.net.wire = data.draw(st.lists(st.sampled_from(sent), max_size=2 * len(sent)))
+
+    @invariant()
+    def sayings_never_go_back(self) -> None:
+        for core in self.net.cores.values():
+            for each in core.table:
+                rank = each.era, each.identity, each.incarnation
+                key = core.me.name, each.name
+                assert rank >= self.rank.get(key, rank)
+                self.rank[key] = rank
+
+    def teardown(self) -> None:
+        self.net.run(40_000)
+        assert all(core.table.present == 4 and core.table.digest == self.net.core(1).table.digest
+                   for core in self.net.cores.values())
+
+
+def test_whatever_the_wire_does_all_agree_in_the_end() -> None:
+    from hypothesis import settings
+    run_state_machine_as_test(
+        Fleet, settings=settings(max_examples=12, stateful_step_count=12, deadline=None, derandomize=True))
