Fleet rig: real doors behind relays; membership on sockets, admin, command line

Added the driver (UDP and TCP at one address, sealed exchanges, identity on disk, keys read anew on SIGHUP), `fleet` in the settings (off by default, imported only where it is asked for), /members on the admin listener, `martenstep members`, and the rig: `serve` processes whose every datagram and stream passes a relay for its pair. `counter/files.py` is now `martenstep/files.py`: identities rest on it too.

--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -19,6 +19,7 @@
 from martenstep.cli.hooks import hook
 from martenstep.cli.lab import lab
 from martenstep.cli.load import load
+from martenstep.cli.members import members
 from martenstep.cli.words import BROKEN, USAGE, faults_told
 from martenstep.cli.words import example as _example
 from martenstep.config import door_pb2 as pb
@@ -246,9 +247,9 @@
 def _log_faults() -> Iterator[None]:
     """What can be wrong with a log, or with what serves it, is told in a line; exit 1."""
     from martenstep.config.tls import TlsError
-    from martenstep.counter.files import LockedError
     from martenstep.counter.follow import RefusedError
     from martenstep.counter.log import LogError
+    from martenstep.files import LockedError
     try:
         yield
     except (LogError, LockedError, RefusedError, TlsError, OSError) as error:
@@ -414,6 +415,7 @@
 cli.add_command(hook)
 cli.add_command(lab)
 cli.add_command(load)
+cli.add_command(members)
 
 
 def main() -> None:
--- /dev/null
+++ b/martenstep/cli/members.py
@@ -0,0 +1,98 @@
+"""`martenstep members`: what a door holds of its fleet, asked over its admin listener."""
+
+from __future__ import annotations
+
+import http.client
+import sys
+from typing import Any, NoReturn
+
+import click
+import msgspec
+
+from martenstep.cli.words import example
+
+WAIT_MS = 20_000  # one question of `watch`
+TIMEOUT_S = 30.0
+COLUMNS = ("name", "state", "zone", "address", "incarnation", "for_s", "says", "by")
+
+
+def _address(value: str) -> tuple[str, int]:
+    host, _, port = value.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise click.UsageError(f"--admin: expected HOST:PORT, got {value!r}")
+    return host.strip("[]"), int(port)
+
+
+def _failed(text: str) -> NoReturn:
+    click.echo(text, err=True)
+    sys.exit(1)
+
+
+def _ask(admin: str, method: str, path: str) -> dict[str, Any]:
+    host, port = _address(admin)
+    connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT_S)
+    try:
+        connection.request(method, path)
+        answer = connection.getresponse()
+        body = answer.read()
+        if answer.status != 200:
+            _failed(f"{admin} answers {answer.status}: {body.decode(errors='replace').strip()}")
+        return msgspec.json.decode(body, type=dict[str, Any])
+    except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
+        _failed(f"{admin}: {error}")
+    finally:
+        connection.close()
+
+
+def table(view: dict[str, Any]) -> str:
+    """A view as staff read it."""
+    rows = [COLUMNS]
+    for one in view["members"]:
+        says = " ".join(word for word in ("deaf", "unheard") if one[word])
+        rows.append((one["name"], one["state"], one["zone"], f"{one['host']}:{one['port']}", str(one["incarnation"]),
+                     f"{one['since_ms'] / 1000:.0f}", says or "-", one["by"] or "-"))
+    widths = [max(len(row[column]) for row in rows) for column in range(len(COLUMNS))]
+    lines = ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip() for row in rows]
+    own = [word for word in ("deaf", "unheard") if view.get(word)]
+    head = f"{view.get('me', '')} is {view['stage']}" + (f", and {' and '.join(own)}" if own else "")
+    present = sum(one["state"] in ("alive", "suspect") for one in view["members"])
+    return "\n".join([f"{head}; {present} of {len(view['members'])} present, version {view.get('version', 0)}", *lines])
+
+
+@click.group()
+def members() -> None:
+    """The fleet as one door holds it."""
+
+
+ADMIN = click.option("--admin", required=True, help="HOST:PORT of the door's admin listener.")
+
+
+@members.command("show", epilog=example("martenstep members show --admin 127.0.0.1:9080"))
+@ADMIN
+@click.option("--json", "as_json", is_flag=True, help="The whole view as JSON.")
+def show(admin: str, as_json: bool) -> None:
+    """Print the view once."""
+    view = _ask(admin, "GET", "/members")
+    click.echo(msgspec.json.encode(view) if as_json else table(view))
+
+
+@members.command("watch", epilog=example("martenstep members watch --admin 127.0.0.1:9080 --times 10"))
+@ADMIN
+@click.option("--times", type=click.IntRange(min=0), default=0, help="Views printed before it ends; 0: until stopped.")
+def watch(admin: str, times: int) -> None:
+    """Print the view, and again with each change."""
+    version, printed = -1, 0
+    while not times or printed < times:
+        view = _ask(admin, "GET", f"/members?after={version}&wait_ms={WAIT_MS}")
+        if view.get("version", 0) != version:
+            version = view.get("version", 0)
+            click.echo(table(view) + "\n")
+            printed += 1
+
+
+@members.command("leave", epilog=example("martenstep members leave --admin 127.0.0.1:9080"))
+@ADMIN
+def leave(admin: str) -> None:
+    """Let the door leave the fleet; it goes on serving."""
+    view = _ask(admin, "POST", "/members/leave")
+    click.echo(f"{view['me']} is {view['stage']}")
--- a/martenstep/config/settings.py
+++ b/martenstep/config/settings.py
@@ -20,6 +20,7 @@
 ERROR_STATUS = (500, 502, 503, 504)
 MOST_PORT = 65535
 MOST_WORKERS = 256
+MOST_NAME = 64  # of a door in the fleet's datagrams
 CUSTOMER_BITS = 33  # the module's customers are numbers below 2^33
 HEX_KEY = re.compile(r"[0-9a-f]{64}")
 HOST_NAME = re.compile(r"(\[[0-9a-fA-F:.]+\]|[A-Za-z0-9.\-_]+)(:[0-9]{1,5})?")
@@ -234,6 +235,36 @@
     check.number(store, node, "gather_ms", 0, store.timeout_ms / 2)
 
 
+def _check_endpoint(check: Checker, endpoint: pb.Fleet.Endpoint, node: Node) -> None:
+    check.port(endpoint, node, any_free=False)
+    check.needed(endpoint, node, "host")
+
+
+def check_fleet(check: Checker, door: pb.Door, node: Node) -> None:
+    """Membership among the doors."""
+    fleet = door.fleet
+    check.needed(fleet, node, "cluster", "host", "key_file")
+    check.port(fleet, node, any_free=True)
+    if fleet.HasField("advertise"):
+        _check_endpoint(check, fleet.advertise, node.at("advertise"))
+    elif fleet.host in ("0.0.0.0", "::"):
+        check.fault(node.at("advertise"), f"missing: others cannot reach {fleet.host}")
+    for seed, at in zip(fleet.seed, node.all("seed"), strict=True):
+        _check_endpoint(check, seed, at)
+    for way, at in zip(fleet.way, node.all("way"), strict=True):
+        _check_endpoint(check, way.to, at.at("to"))
+        _check_endpoint(check, way.through, at.at("through"))
+    check.number(fleet, node, "period_ms", 20, 60_000)
+    check.number(fleet, node, "ack_ms", 1, fleet.period_ms / 2)
+    check.number(fleet, node, "gossip_ms", 10, 60_000)
+    check.number(fleet, node, "suspect_least_ms", 2000, 600_000)
+    check.number(fleet, node, "reclaim_ms", 10_000, 1e9)
+    if not 0 < len(door.name) <= MOST_NAME or len(door.zone) > MOST_NAME:
+        check.fault(node, f"the door's name and zone may have {MOST_NAME} characters at most")
+    if door.workers.count > 1:
+        check.fault(node, "is not there for several workers yet: each would need an address of its own")
+
+
 def _check_parts(check: Checker, door: pb.Door, root: Node) -> None:
     """Listener, upstream, store, members, admin and log."""
     node = root.at("listener")
@@ -285,6 +316,8 @@
             check.above_zero(part, node, "timeout_ms")
             if part.timeout_ms >= shortest:
                 check.fault(node.at("timeout_ms"), f"expected below the shortest deadline of {shortest:g}")
+    if door.HasField("fleet"):
+        check_fleet(check, door, root.at("fleet"))
     if door.HasField("hooks"):
         _check_hooks(check, door, root.at("hooks"))
     if door.HasField("tracing"):
--- a/martenstep/counter/follow.py
+++ b/martenstep/counter/follow.py
@@ -16,11 +16,11 @@
 from pathlib import Path
 
 from martenstep.backoff import Backoff
-from martenstep.counter.files import Disk
 from martenstep.counter.frames import Ack, Entries, Follow, FrameError, Frames, Refused, Status, decode, encode
 from martenstep.counter.keeper import Keeper, rebuild
 from martenstep.counter.log import Writer, likeness, open_log, read_records, records_of
 from martenstep.counter.state import ENTRY_TERM, Limits, term_of
+from martenstep.files import Disk
 
 READ_BYTES = 1 << 20
 AGAIN_LEAST_MS, AGAIN_MOST_MS = 50.0, 2000.0
--- a/martenstep/counter/keeper.py
+++ b/martenstep/counter/keeper.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from martenstep.counter.files import Files
 from martenstep.counter.frames import Add, Read, Record, Reply, Status, Stored, Total, without
 from martenstep.counter.log import LogError, Opened, Writer, compact, open_log, write_snapshot
 from martenstep.counter.state import ENTRY_ADD, Counter, Door, Limits, read_add, term_entry
+from martenstep.files import Files
 
 
 @dataclass(slots=True)
--- a/martenstep/counter/log.py
+++ b/martenstep/counter/log.py
@@ -22,8 +22,8 @@
 from dataclasses import dataclass
 from itertools import pairwise
 
-from martenstep.counter.files import Appender, Files
 from martenstep.counter.frames import crc32c
+from martenstep.files import Appender, Files
 
 MAGIC, SNAP_MAGIC, VERSION = b"MSTEPLOG", b"MSTEPSNP", 1
 HEADER = struct.Struct(">8sIQ8sI")
--- a/martenstep/counter/service.py
+++ b/martenstep/counter/service.py
@@ -21,7 +21,6 @@
 
 from martenstep.config.tls import ServerContext, TlsError
 from martenstep.counter import counter_pb2 as pb
-from martenstep.counter.files import Disk
 from martenstep.counter.frames import (
     VERSION,
     Ack,
@@ -44,6 +43,7 @@
 from martenstep.counter.keeper import Group, Keeper, Session
 from martenstep.counter.log import RECORD, LogError, likeness, read_records, records_of
 from martenstep.counter.state import Limits
+from martenstep.files import Disk
 
 PART_BYTES = 60_000  # of records in one frame: below the bound of a frame
 SWEEP_S = 1.0  # how often half frames that hang are looked for
--- a/martenstep/door/admin.py
+++ b/martenstep/door/admin.py
@@ -1,16 +1,35 @@
-"""The admin listener: health, readiness, metrics.  For operators only: bind it to a host that clients don't reach."""
+"""The admin listener: health, readiness, metrics, the fleet.  For operators only: bind it to a host that clients don't
+reach."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from typing import Any, Protocol
+from urllib.parse import parse_qs
 
 import h11
+import msgspec
 import prometheus_client
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
 ANSWER_MS = 5000.0
+MOST_WAIT_MS = 60_000.0  # that a view is waited for
+Answer = tuple[int, str, bytes]
+
+
+class Fleet(Protocol):
+    """What the listener asks of the membership."""
+
+    def view(self) -> dict[str, Any]:
+        """What this door holds of the others."""
+
+    async def newer(self, version: int, wait_s: float) -> None:
+        """Wait until the view is newer."""
+
+    async def leave(self) -> None:
+        """Say that this door goes."""
 
 
 class DoorCollector(Collector):
@@ -36,6 +55,11 @@
         self._registry.register(collector)
         self._ready = ready
         self._server: asyncio.Server | None = None
+        self._fleet: Fleet | None = None
+
+    def fleet(self, fleet: Fleet) -> None:
+        """There is a fleet to tell of."""
+        self._fleet = fleet
 
     async def start(self, host: str, port: int) -> int:
         """Bind; gives the port."""
@@ -47,7 +71,29 @@
         if self._server is not None:
             self._server.close()
 
-    def answer(self, path: str) -> tuple[int, str, bytes]:
+    async def members(self, method: str, path: str, query: str) -> Answer:
+        """The fleet: `GET /members?after=VERSION&wait_ms=MS` waits for a newer view, `POST /members/leave` leaves."""
+        if self._fleet is None:
+            return 404, "text/plain", b"the settings have no fleet\n"
+        if path == "/members/leave":
+            if method != "POST":
+                return 405, "text/plain", b"POST leaves\n"
+            await self._fleet.leave()
+        elif path != "/members":
+            return 404, "text/plain", b"there are: /members /members/leave\n"
+        elif query:
+            asked = parse_qs(query, keep_blank_values=True)
+            try:
+                after = int(asked.get("after", ["-1"])[-1])
+                wait_ms = float(asked.get("wait_ms", ["0"])[-1])
+            except ValueError:
+                return 400, "text/plain", b"after and wait_ms are numbers\n"
+            if not 0 <= wait_ms <= MOST_WAIT_MS:
+                return 400, "text/plain", f"wait_ms: expected 0 to {MOST_WAIT_MS:.0f}\n".encode()
+            await self._fleet.newer(after, wait_ms / 1000)
+        return 200, "application/json", msgspec.json.encode(self._fleet.view())
+
+    def answer(self, path: str) -> Answer:
         """Status, content type and body for a path."""
         if path == "/healthz":
             return 200, "text/plain", b"ok\n"
@@ -55,7 +101,7 @@
             return (200, "text/plain", b"ready\n") if self._ready() else (503, "text/plain", b"not ready\n")
         if path == "/metrics":
             return 200, "text/plain; version=0.0.4", prometheus_client.generate_latest(self._registry)
-        return 404, "text/plain", b"there are: /healthz /readyz /metrics\n"
+        return 404, "text/plain", b"there are: /healthz /readyz /metrics /members\n"
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = h11.Connection(h11.SERVER)
@@ -64,7 +110,11 @@
                 while (event := connection.next_event()) is h11.NEED_DATA:
                     connection.receive_data(await reader.read(4096))
             if isinstance(event, h11.Request):
-                status, kind, body = self.answer(event.target.decode("latin-1").partition("?")[0])
+                path, _, query = event.target.decode("latin-1").partition("?")
+                if path == "/members" or path.startswith("/members/"):
+                    status, kind, body = await self.members(event.method.decode(), path, query)
+                else:
+                    status, kind, body = self.answer(path)
                 head = h11.Response(status_code=status, headers=[
                     ("content-type", kind), ("content-length", str(len(body))), ("connection", "close")])
                 writer.write(connection.send(head) or b"")
--- a/martenstep/door/daemon.py
+++ b/martenstep/door/daemon.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from martenstep.config import door_pb2 as pb
 from martenstep.config.tls import WARN_DAYS, ClientContext, ServerContext, TlsError
@@ -28,6 +28,9 @@
 from martenstep.members.lists import Listed
 from martenstep.store.redis_store import RedisStore
 
+if TYPE_CHECKING:
+    from martenstep.members.gossip.driver import Membership
+
 WARN_S = 3600.0  # between two looks at the certificate's end
 KEPT_EVENTS = ("hooks", "hooks withdrawn", "hook left alone", "hooks changed under a known version")
 COUNTER_FLUSH_MS = 2000.0  # at a stop: what is not acknowledged by then stays in the journal
@@ -70,6 +73,7 @@
         self._exporter: Exporter | None = None
         self._feed = Feed(door.members, door.name, self._listed, self._odd, now_ms)
         self._feeding: asyncio.Task[None] | None = None
+        self.fleet: Membership | None = None
         self._admin = Admin(DoorCollector(self._counts, self._gauges), lambda: self.ready)
         self._loading: asyncio.Task[None] | None = None
         self.ports: dict[str, int] = {}
@@ -92,6 +96,8 @@
             self._feed.warm()
             self._feeding = asyncio.create_task(self._feed.run())
             self._feeding.add_done_callback(self._feed_ended)
+        if self.door.HasField("fleet"):
+            await self._join_fleet()
         if self.door.HasField("admin"):
             self.ports["admin"] = await self._admin.start(self.door.admin.host, self.door.admin.port)
         self.ports["listener"] = await self.driver.start(sock, reuse_port)
@@ -99,6 +105,20 @@
         self._warn()
         self.notes.note("ready", dict(self.ports))
 
+    async def _join_fleet(self) -> None:
+        """Find the other doors.  Knowledge, never permission: what is wrong with it keeps nobody from serving."""
+        # Imported only where it is asked for: a door without it carries none of it.
+        from martenstep.members.gossip.driver import Membership
+        from martenstep.members.gossip.keys import KeyFileError
+        try:
+            self.fleet = Membership(self.door.fleet, self.door.name, self.door.zone, self.notes.note)
+            self.ports["fleet"] = await self.fleet.start()
+        except (KeyFileError, OSError) as error:
+            self.notes.note("fleet not joined", {"error": str(error)})
+            self.fleet = None
+            return
+        self._admin.fleet(self.fleet)
+
     async def load_hooks(self) -> None:
         """Take up the releases that stand in the directory.  Hooks never keep a door from its service: what cannot be
         read is told and left out, and what acts goes on."""
@@ -143,6 +163,8 @@
     def renew(self) -> None:
         """Take up new hooks and certificates; requests and connections that stand keep theirs."""
         self._loading = asyncio.create_task(self.load_hooks())
+        if self.fleet is not None:
+            self.fleet.renew()
         every: list[ServerContext | ClientContext] = [*self.driver.client_tls]
         if self.driver.tls is not None:
             every.append(self.driver.tls)
@@ -167,6 +189,7 @@
         """Leave in a bounded time; True where all that was held was answered by itself."""
         self.ready = False
         self.notes.note("stopping", {"open": self.engine.open})
+        leaving = asyncio.create_task(self.fleet.leave()) if self.fleet is not None else None
         clean = await self.driver.stop(self.door.stop_ms)
         if self._feeding is not None:
             self._feeding.cancel()
@@ -177,6 +200,9 @@
             await self._counter.stop()
         if self._exporter is not None:
             self._exporter.close()
+        if self.fleet is not None and leaving is not None:
+            await leaving
+            await self.fleet.stop()
         self._admin.stop()
         self.notes.note("stopped", {"clean": clean, **self.engine.held})
         return clean
@@ -228,12 +254,16 @@
         if self.shelf is not None:
             for what, count in self.shelf.counts.items():
                 made[f"hooks_{what.replace(' ', '_').replace('-', '_')}"] = count
+        if self.fleet is not None:
+            made.update(self.fleet.counts())
         return made
 
     def _gauges(self) -> dict[str, float]:
         held: dict[str, float] = {f"held_{name}": value for name, value in self.engine.held.items()}
         if self.shelf is not None:
             held.update({f"hooks_version_{name}": version for name, version in self.shelf.acting.items()})
+        if self.fleet is not None:
+            held.update(self.fleet.gauges())
         return {**held, "client_connections": len(self.driver.clients),
                 "upstream_connections": self.driver.pool.connections}
 
--- a/martenstep/counter/files.py
+++ b/martenstep/files.py
@@ -1,4 +1,4 @@
-"""The few file operations that the log rests on, so that a test can own what survives a crash.
+"""The few file operations that logs and identities rest on, so that a test can own what survives a crash.
 
 `Disk` is the operating system's; the fault-injecting one of the tests keeps what was written but not synced apart, and
 after a crash gives back any part of it.
--- a/martenstep/lab/fleet/virtual.py
+++ b/martenstep/lab/fleet/virtual.py
@@ -10,11 +10,12 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any
 
 from martenstep.lab.emulate.core import START_MS, Sim, Timer
 from martenstep.lab.fleet import fleet_pb2 as pb
 from martenstep.lab.fleet.records import Belief, Held, Record, Truth, View
+from martenstep.lab.fleet.relay import Forger
 from martenstep.lab.fleet.schedule import Member, Step, members_of, steps_of
 from martenstep.lab.fleet.wires import Wires
 from martenstep.members.gossip.core import Address, Datagram, Dial, Event, Gossip, Settings, Stage
@@ -32,20 +33,6 @@
 MOST_OLD = 200  # datagrams kept to be played again as forged ones
 
 
-class Core(Protocol):
-    """What the world drives: the membership's core, or the baseline beside it."""
-
-    out: list[Any]
-    counts: Any
-
-    @property
-    def next_at(self) -> float: ...
-
-    def wake(self, now: float) -> None: ...
-
-    def datagram(self, now: float, data: bytes) -> None: ...
-
-
 @dataclass(slots=True)
 class Disk:
     """What a member keeps: who it is, and how often it was started."""
@@ -87,7 +74,8 @@
         self._keys = Keys([KEY])
         self.places: dict[str, Place] = {}
         self._at: dict[Address, Place] = {}
-        self._old: list[tuple[str, str, bytes]] = []
+        self._old: list[bytes] = []
+        self._forger = Forger(self.rng)
         self._present: dict[int, tuple[int, frozenset[tuple[str, int]]]] = {}  # of a life and a version of its view
         self._agreed: bool | None = None
         for number, member in enumerate(self.members):
@@ -159,7 +147,7 @@
         # A millionth of a millisecond late: sums with an offset are not exact, and too early would wake for ever.
         place.timer = self.sim.at(core.next_at - place.offset + late + 1e-6, self._wake, place, core)
 
-    def _wake(self, place: Place, core: Core) -> None:
+    def _wake(self, place: Place, core: Gossip) -> None:
         if place.core is core and not place.paused:
             core.wake(self.sim.now + place.offset)
             self._after(place)
@@ -171,7 +159,7 @@
         if target is None:
             return
         if len(self._old) < MOST_OLD or self.rng.random() < 0.01:
-            self._old.append((place.name, target.name, data))
+            self._old.append(data)
             del self._old[:-MOST_OLD]
         now = self.sim.now
         for arrival in self.wires.pass_on(now, place.member.name, target.member.name, data):
@@ -323,18 +311,8 @@
         if self.sim.now >= until:
             return
         self.sim.after(1000 / entry.per_s, self._forge, entry, until)
-        rng = self.rng
-        target = rng.choice([place for place in self.places.values()])
-        kind = rng.randrange(4)
-        if kind == 0 or not self._old:
-            data = rng.randbytes(rng.randrange(1, 1500))
-        else:
-            data = rng.choice(self._old)[2]
-            if kind == 1:
-                data = data[: rng.randrange(len(data))]
-            elif kind == 2:
-                data = data + rng.randbytes(rng.randrange(1, 400))
-        self._arrive(target.address, data)
+        target = self.rng.choice(list(self.places.values()))
+        self._arrive(target.address, self._forger.made(self._old))
 
     # The play.
 
--- a/martenstep/lab/report.py
+++ b/martenstep/lab/report.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from martenstep.config.text import Faults
-from martenstep.counter.files import LockedError
 from martenstep.counter.log import LogError
 from martenstep.counter.read import each_try
+from martenstep.files import LockedError
 from martenstep.lab import day_pb2 as pb
 from martenstep.lab.day import load_day
 from martenstep.lab.rules import (
--- a/tests/test_counter_service.py
+++ b/tests/test_counter_service.py
@@ -21,11 +21,11 @@
 from martenstep.cli.main import cli
 from martenstep.counter import frames as fr
 from martenstep.counter.client import CounterClient, Journal
-from martenstep.counter.files import LockedError
 from martenstep.counter.read import each_try, rebuilt, verify
 from martenstep.counter.service import Service, open_keeper
 from martenstep.counter.settings import parse_service
 from martenstep.counter.state import Limits
+from martenstep.files import LockedError
 from martenstep.interface import Verdict
 from tests.socket_rig import run
 
