Membership and rig: tests between real processes, `lab fleet`; probes are not turned away

`lab fleet run, check, emulate`. The tests found that a damaged identity file was replaced in memory and never on the disk (identity.py, the `or` before keep): mended.

Below 400 it notes none now; the new test fails without that.

--- /dev/null
+++ b/martenstep/cli/fleet.py
@@ -0,0 +1,127 @@
+"""`martenstep lab fleet`: schedules of faults between doors, with real processes and in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+import msgspec
+
+from martenstep.cli.words import BROKEN, USAGE, example, faults_told
+from martenstep.config.text import Faults
+
+FILE = click.Path(path_type=Path)
+TOLD_BREACHES = 10  # of one play
+SHOWN = ("false_deaths", "suspicions", "kills", "kills_known_to_all", "sent_a_second", "sent_bytes_a_second")
+SPREAD = ("first_detection_ms", "known_to_all_ms", "healed_ms")
+
+
+@click.group("fleet")
+def fleet() -> None:
+    """Fleets of doors that break on purpose, judged from what each of them believed."""
+
+
+def _summary(name: str, breaches: list[str], figures: dict[str, Any]) -> str:
+    parts = [f"{key} {figures[key]:g}" for key in SHOWN if key in figures]
+    parts += [f"{key} {figures[key]['median']:.0f} (most {figures[key]['most']:.0f})" for key in SPREAD
+              if key in figures]
+    lines = [f"{name}: {'kept' if not breaches else f'{len(breaches)} breaches'}; {', '.join(parts)}"]
+    lines += [f"  {breach}" for breach in breaches[:TOLD_BREACHES]]
+    if len(breaches) > TOLD_BREACHES:
+        lines.append(f"  and {len(breaches) - TOLD_BREACHES} more")
+    return "\n".join(lines)
+
+
+def _told(folder: Path, name: str, breaches: list[str], figures: dict[str, Any]) -> NoReturn:
+    (folder / "result.json").write_bytes(msgspec.json.encode({"breaches": breaches, "figures": figures}) + b"\n")
+    click.echo(_summary(name, breaches, figures))
+    sys.exit(BROKEN if breaches else 0)
+
+
+@fleet.command("run", epilog=example("martenstep lab fleet run days/fleet/halves.txtpb --out out/halves"))
+@click.argument("file", type=FILE)
+@click.option("--out", type=FILE, required=True, help="Folder for records, logs and disks; an old play there goes.")
+@click.option("--seed", type=int, default=1, show_default=True)
+def run(file: Path, out: Path, seed: int) -> None:
+    """Play the schedule in FILE between real doors on loopback and judge it; exit 3 where a rule was broken."""
+    from martenstep.lab.fleet.judge import judge
+    from martenstep.lab.fleet.rig import play_rig
+    from martenstep.lab.fleet.schedule import load_schedule
+    from martenstep.lab.play import PlayError
+    try:
+        schedule = load_schedule(file)
+    except Faults as error:
+        faults_told(error)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.default_int_handler)
+    try:
+        records, ready_s = asyncio.run(play_rig(schedule, seed, out))
+    except (PlayError, OSError) as error:
+        click.echo(f"{file}: {error}", err=True)
+        sys.exit(1)
+    except KeyboardInterrupt:
+        click.echo(f"{file}: interrupted; all processes are ended", err=True)
+        sys.exit(1)
+    verdict = judge(schedule, records)
+    _told(out, schedule.name, verdict.breaches, {**verdict.figures, "ready_s": round(ready_s, 2)})
+
+
+@fleet.command("check", epilog=example("martenstep lab fleet check out/halves"))
+@click.argument("folder", type=FILE)
+def check(folder: Path) -> None:
+    """Judge the records in FOLDER again, alone; exit 3 where a rule was broken."""
+    from martenstep.lab.fleet.judge import judge
+    from martenstep.lab.fleet.records import RecordError, read_records
+    from martenstep.lab.fleet.schedule import load_schedule
+    try:
+        schedule = load_schedule(folder / "schedule.txtpb")
+        verdict = judge(schedule, list(read_records(folder / "records.jsonl")))
+    except Faults as error:
+        faults_told(error)
+    except RecordError as error:
+        click.echo(str(error), err=True)
+        sys.exit(USAGE)
+    _told(folder, schedule.name, verdict.breaches, verdict.figures)
+
+
+@fleet.command("emulate", epilog=example("martenstep lab fleet emulate days/fleet/*.txtpb --seeds 20"))
+@click.argument("files", type=FILE, nargs=-1, required=True)
+@click.option("--seeds", type=click.IntRange(1, 100_000), default=1, show_default=True, help="Plays of each.")
+@click.option("--first", type=int, default=1, show_default=True, help="The first seed.")
+@click.option("--members", type=click.IntRange(2, 400), default=None, help="In place of the schedules' own.")
+@click.option("--workers", type=click.IntRange(1, 256), default=None, help="Processes; all cores otherwise.")
+@click.option("--json", "as_json", is_flag=True, help="One line of JSON for each play.")
+def emulate(files: tuple[Path, ...], seeds: int, first: int, members: int | None, workers: int | None,
+            as_json: bool) -> None:
+    """Play the schedules of FILES in virtual time, each with several seeds; exit 3 where a rule was broken."""
+    from google.protobuf import text_format
+
+    from martenstep.lab.fleet.plays import play_all
+    from martenstep.lab.fleet.schedule import load_schedule
+    texts = []
+    for file in files:
+        try:
+            schedule = load_schedule(file)
+        except Faults as error:
+            faults_told(error)
+        if members is not None:
+            schedule.members = members
+            schedule.seeds = min(schedule.seeds, members)
+        texts.append((text_format.MessageToString(schedule), str(file)))
+    kept = True
+    try:
+        for played in play_all(texts, range(first, first + seeds), workers or 0):
+            kept = kept and not played.breaches
+            if as_json:
+                click.echo(msgspec.json.encode({"name": played.name, "members": played.members, "seed": played.seed,
+                                                "breaches": played.breaches, "figures": played.figures}))
+            else:
+                click.echo(_summary(f"{played.name} ({played.members} doors, seed {played.seed})", played.breaches,
+                                    played.figures))
+    except Faults as error:
+        faults_told(error)
+    sys.exit(0 if kept else BROKEN)
--- a/martenstep/cli/lab.py
+++ b/martenstep/cli/lab.py
@@ -11,6 +11,7 @@
 import click
 import msgspec
 
+from martenstep.cli.fleet import fleet
 from martenstep.cli.words import BROKEN, USAGE, example, faults_told
 from martenstep.config.text import Faults
 
@@ -223,3 +224,6 @@
         click.echo(f"| {folder.name} | {' | '.join(cells)} |")
     click.echo("\nplayed, emulated")
     sys.exit(1 if apart else 0)
+
+
+lab.add_command(fleet)
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -572,7 +572,8 @@
         """Answer what never reaches the module."""
         headers, body = self._wording.own(reason, label, wait) if status != NO_CONTENT else ([], b"")
         headers += [*more, *self._wording.signed(label)]
-        self._out.append(ev.Note("turned away", {"request": label, "status": status, "reason": reason}))
+        if status >= 400:  # a probe that is answered well is not turned away: on a quiet door it would be most lines
+            self._out.append(ev.Note("turned away", {"request": label, "status": status, "reason": reason}))
         self._out.append(ev.Reply(event.ticket, status, headers, body))
 
     def _client_left(self, event: ev.ClientLeft) -> None:
--- a/martenstep/lab/fleet/plays.py
+++ b/martenstep/lab/fleet/plays.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -42,8 +42,8 @@
     return play(*work)
 
 
-def play_all(texts: Iterable[tuple[str, str]], seeds: Iterable[int], workers: int = 0) -> list[Played]:
-    """(text, file) each with each seed; in order."""
+def play_all(texts: Iterable[tuple[str, str]], seeds: Iterable[int], workers: int = 0) -> Iterator[Played]:
+    """(text, file) each with each seed; in order, each as soon as it and those before it are done."""
     works = [(text, file, seed) for text, file in texts for seed in seeds]
     with ProcessPoolExecutor(workers or os.cpu_count()) as pool:
-        return list(pool.map(_one, works))
+        yield from pool.map(_one, works)
--- a/martenstep/lab/fleet/rig.py
+++ b/martenstep/lab/fleet/rig.py
@@ -201,8 +201,12 @@
     def _running(self) -> list[Place]:
         return [place for place in self._places.values() if place.process is not None and place.process.running]
 
+    async def view(self, name: str) -> dict[str, Any] | None:
+        """What a door holds; None where it cannot be asked."""
+        return await self._view(self._places[name])
+
     async def _view(self, place: Place) -> dict[str, Any] | None:
-        if place.process is None or not place.process.running or place.paused:
+        if place.process is None or not place.process.running or place.paused or not place.process.ready:
             return None
         try:
             return await ask(place.process.ready["admin"], "/members")
@@ -240,7 +244,7 @@
                 shutil.copytree(place.disk, place.folder / "old", dirs_exist_ok=True)
         for step in steps_of(schedule, self._seed):
             await self._until(begin + step.at_ms, "faults")
-            self._step(step)
+            self.apply(step)
         await self._until(begin + schedule.length_ms, "faults")
         self._truth("faults over")
         await self._until(begin + schedule.length_ms + schedule.settle_ms, "settling")
@@ -274,7 +278,8 @@
         if not task.cancelled() and task.exception() is not None:
             self._faults.append(str(task.exception()))
 
-    def _step(self, step: Step) -> None:
+    def apply(self, step: Step) -> None:
+        """Let a fault begin or end, now."""
         entry, what = step.entry, step.entry.what
         self._truth("fault begins" if step.on else "fault ends", number=step.number, what=pb.Breaks.Name(what),
                     who=list(step.who))
--- a/martenstep/members/gossip/identity.py
+++ b/martenstep/members/gossip/identity.py
@@ -41,7 +41,8 @@
     if kept is None or not 0 <= kept.identity < 1 << 64 or not 0 <= kept.starts < 1 << 31:
         kept = Identity(rng.getrandbits(62), 0)
     kept.starts += 1
-    return kept, wrong or keep(files, kept)
+    unwritten = keep(files, kept)
+    return kept, wrong or unwritten
 
 
 def keep(files: Files, identity: Identity) -> str:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,236 @@
+"""Membership on sockets: several doors in one loop, keys, identities, the admin listener, the command line."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from martenstep.cli.main import cli
+from martenstep.config import door_pb2 as pb
+from martenstep.config.settings import parse_door
+from martenstep.config.text import Faults
+from martenstep.door.admin import Admin, DoorCollector
+from martenstep.files import Disk
+from martenstep.lab.fleet.rig import ask
+from martenstep.members.gossip import identity
+from martenstep.members.gossip.driver import Membership
+from martenstep.members.gossip.facts import State
+from martenstep.members.gossip.keys import KeyFileError, read_keys
+from tests.door_rig import DOOR
+from tests.socket_rig import run
+
+OLD, NEW = "ab" * 32, "cd" * 32
+QUICK = {"period_ms": 60, "ack_ms": 20, "gossip_ms": 20, "suspect_least_ms": 2000}
+
+
+def settings(folder: Path, name: str, seeds: list[int], **more: Any) -> pb.Fleet:
+    (folder / "keys").mkdir(exist_ok=True)
+    key = folder / "keys" / name
+    if not key.exists():
+        key.write_text(f"{OLD}  # in force\n", encoding="ascii")
+    fleet = pb.Fleet(cluster="test", key_file=str(key), directory=str(folder / name), **{**QUICK, **more})
+    for port in seeds:
+        fleet.seed.add(port=port)
+    return fleet
+
+
+class Doors:
+    """Several memberships in one loop."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.doors: dict[str, Membership] = {}
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+
+    async def start(self, name: str, **more: Any) -> Membership:
+        seeds = [door.port for door in self.doors.values()][:1]
+        made = Membership(settings(self.folder, name, seeds, **more), name, "a",
+                          lambda event, fields: self.lines.append((event, fields)))
+        await made.start()
+        self.doors[name] = made
+        return made
+
+    async def until(self, holds: Any) -> None:
+        """Wait until it holds; the test's own bound ends a fault."""
+        while not holds():
+            await asyncio.sleep(0.02)
+
+    def state(self, of: str, name: str) -> State | None:
+        core = self.doors[of].core
+        assert core is not None
+        fact = core.table.get(name)
+        return None if fact is None else fact.state
+
+    def all_hold(self, state: State | None, name: str) -> bool:
+        return all(self.state(of, name) is state for of in self.doors if of != name)
+
+    async def stop(self) -> None:
+        for door in self.doors.values():
+            await door.stop()
+
+
+def test_doors_join_hear_of_a_leave_and_know_a_restart(tmp_path: Path) -> None:
+    async def test() -> None:
+        fleet = Doors(tmp_path)
+        for name in ("d0", "d1", "d2"):
+            await fleet.start(name)
+        await fleet.until(lambda: all(fleet.all_hold(State.ALIVE, name) for name in fleet.doors))
+        first = fleet.doors["d2"].view()
+        await fleet.doors["d2"].leave()
+        await fleet.until(lambda: fleet.all_hold(State.LEFT, "d2"))
+        await fleet.doors.pop("d2").stop()
+        again = await fleet.start("d2")
+        await fleet.until(lambda: fleet.all_hold(State.ALIVE, "d2"))
+        core = again.core
+        assert core is not None
+        mine = next(one for one in first["members"] if one["name"] == "d2")
+        assert f"{core.me.identity:016x}" == mine["identity"] and core.me.incarnation > mine["incarnation"]
+        await fleet.stop()
+    run(test())
+
+
+def test_a_door_that_ends_without_a_word_is_told_dead_and_its_empty_disk_is_another(tmp_path: Path) -> None:
+    async def test() -> None:
+        fleet = Doors(tmp_path)
+        for name in ("d0", "d1", "d2", "d3"):
+            await fleet.start(name)
+        await fleet.until(lambda: all(fleet.all_hold(State.ALIVE, name) for name in fleet.doors))
+        gone = fleet.doors.pop("d3")
+        assert gone.core is not None
+        old = gone.core.me.identity
+        await gone.stop()
+        await fleet.until(lambda: fleet.all_hold(State.DEAD, "d3"))
+        (tmp_path / "d3" / identity.FILE).unlink()
+        again = await fleet.start("d3")
+        await fleet.until(lambda: fleet.all_hold(State.ALIVE, "d3"))
+        assert again.core is not None and again.core.me.identity != old and again.core.me.era == 1
+        await fleet.stop()
+    run(test())
+
+
+def test_a_key_changes_door_by_door_and_one_without_it_stays_out(tmp_path: Path) -> None:
+    async def test() -> None:
+        fleet = Doors(tmp_path)
+        for name in ("d0", "d1"):
+            await fleet.start(name)
+        (tmp_path / "keys" / "x").write_text(NEW, encoding="ascii")
+        stranger = await fleet.start("x")
+        core = fleet.doors["d0"].core
+        assert core is not None
+        await fleet.until(lambda: core.counts["dropped_stream_mac"])
+        assert stranger.core is not None and not stranger.core.joined
+        for keys in (f"{OLD}\n{NEW}", f"{NEW}\n{OLD}", NEW):
+            for name in ("d0", "d1"):
+                (tmp_path / "keys" / name).write_text(keys, encoding="ascii")
+                fleet.doors[name].renew()
+        await fleet.until(lambda: fleet.all_hold(State.ALIVE, "x") and stranger.core.joined)
+        (tmp_path / "keys" / "d0").write_text("nothing", encoding="ascii")
+        fleet.doors["d0"].renew()
+        assert fleet.lines[-1][0] == "fleet keys not taken up" and "line 1" in fleet.lines[-1][1]["error"]
+        await fleet.stop()
+    run(test())
+
+
+def test_noise_on_a_stream_is_counted_and_ends_it(tmp_path: Path) -> None:
+    async def test() -> None:
+        fleet = Doors(tmp_path)
+        door = await fleet.start("d0")
+        assert door.core is not None
+        for body in (b"", b"\xff" * 4, b"\0\0\0\x20" + b"x" * 32):
+            reader, writer = await asyncio.open_connection("127.0.0.1", door.port)
+            await reader.readexactly(19)
+            writer.write(b"n" * 16 + body)
+            writer.write_eof()
+            assert await reader.read() == b""
+            writer.close()
+        assert door.core.counts["dropped_stream_mac"] == 1 and door.core.counts["dropped_stream_length"] == 1
+        await fleet.stop()
+    run(test())
+
+
+def test_staff_read_the_view_watch_it_and_let_a_door_leave(tmp_path: Path) -> None:
+    async def test() -> None:
+        fleet = Doors(tmp_path)
+        for name in ("d0", "d1"):
+            await fleet.start(name)
+        await fleet.until(lambda: all(fleet.all_hold(State.ALIVE, name) for name in fleet.doors))
+        admin = Admin(DoorCollector(dict, fleet.doors["d0"].gauges), lambda: True)
+        port = await admin.start("127.0.0.1", 0)
+        at = f"127.0.0.1:{port}"
+        told = await asyncio.to_thread(CliRunner().invoke, cli, ["members", "show", "--admin", at])
+        assert told.exit_code == 1 and "no fleet" in told.output
+        admin.fleet(fleet.doors["d0"])
+        told = await asyncio.to_thread(CliRunner().invoke, cli, ["members", "show", "--admin", at])
+        assert told.exit_code == 0 and "d0 is joined; 2 of 2 present" in told.output and "d1    alive" in told.output
+        view = await ask(port, "/members")
+        waiting = asyncio.create_task(ask(port, f"/members?after={view['version']}&wait_ms=4000"))
+        left = await asyncio.to_thread(CliRunner().invoke, cli, ["members", "leave", "--admin", at])
+        assert left.output == "d0 is gone\n"
+        assert (await waiting)["version"] > view["version"]
+        watched = await asyncio.to_thread(CliRunner().invoke, cli, ["members", "watch", "--admin", at, "--times", "1"])
+        assert "d0 is gone" in watched.output
+        assert b"martenstep_fleet_members_left 1" in admin.answer("/metrics")[2]
+        for path, status in (("/members?after=x", 400), ("/members?wait_ms=1e9", 400), ("/members/no", 404),
+                             ("/members/leave", 405)):
+            with pytest.raises(ValueError, match=str(status)):
+                await ask(port, path)
+        admin.stop()
+        await fleet.stop()
+    run(test())
+
+
+def test_no_answer_is_told_in_a_line() -> None:
+    told = CliRunner().invoke(cli, ["members", "show", "--admin", "127.0.0.1:1"])
+    assert told.exit_code == 1 and "127.0.0.1:1" in told.output
+    assert CliRunner().invoke(cli, ["members", "show", "--admin", "x"]).exit_code == 2
+
+
+@pytest.mark.parametrize(("text", "told"), [
+    ("", "expected 1 to 4 keys"), ("zz", "line 1: not hex"), ("ab", "line 1: expected at least 16 bytes"),
+    ("é", "not hex"),
+])
+def test_keys_that_cannot_be_used_are_told_and_never_shown(tmp_path: Path, text: str, told: str) -> None:
+    file = tmp_path / "keys"
+    file.write_text(text, encoding="utf-8")
+    with pytest.raises(KeyFileError, match=told):
+        read_keys(file)
+    with pytest.raises(KeyFileError, match="No such file"):
+        read_keys(tmp_path / "none")
+
+
+def test_an_identity_is_kept_raised_at_each_start_and_never_keeps_a_door_from_starting(tmp_path: Path) -> None:
+    class Full(Disk):
+        """A disk with no room."""
+
+        def write_aside(self, name: str, data: bytes) -> None:
+            raise OSError(28, "No space left on device")
+
+    rng = random.Random(1)
+    with Disk(tmp_path / "a") as disk:
+        first, wrong = identity.take_up(disk, rng)
+        second, _ = identity.take_up(disk, rng)
+        assert not wrong and (first.identity, first.starts, second.starts) == (second.identity, 1, 2)
+        disk.write_aside(identity.FILE, b"{")
+        third, wrong = identity.take_up(disk, rng)
+        assert third.identity != first.identity and third.starts == 1 and "is not read" in wrong
+    with Full(tmp_path / "a") as full:
+        fourth, wrong = identity.take_up(full, rng)
+        assert fourth.starts == 2 and "No space left" in wrong
+
+
+def test_faults_of_the_fleets_settings_are_told_by_field() -> None:
+    with pytest.raises(Faults) as told:
+        parse_door(DOOR + 'fleet { host: "0.0.0.0" period_ms: 100 ack_ms: 80 suspect_least_ms: 5 seed { } '
+                          'way { to { port: 1 } } }\nworkers { count: 2 }', "d")
+    text = str(told.value)
+    for field in ("fleet.cluster", "fleet.key_file", "fleet.advertise", "fleet.ack_ms", "fleet.suspect_least_ms",
+                  "fleet.seed[0].port", "fleet.way[0].through.port"):
+        assert field in text, (field, text)
+    assert "several workers" in text
+    assert json.dumps(text)
--- a/tests/test_node_door.py
+++ b/tests/test_node_door.py
@@ -101,6 +101,18 @@
     run(test())
 
 
+def test_a_probe_that_is_answered_well_is_not_told_as_turned_away(tmp_path: Path) -> None:
+    """On a quiet day of 45 minutes 98% of a door's lines were such."""
+    async def test() -> None:
+        async with place(tmp_path, serves) as door:
+            lines: list[tuple[str, dict[str, Any]]] = []
+            door.node.driver._note = lambda event, fields: lines.append((event, fields))
+            assert (await door.ask("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
+            assert (await door.ask("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 400
+            assert [fields["status"] for event, fields in lines if event == "turned away"] == [400]
+    run(test())
+
+
 def test_a_keyed_request_goes_with_its_body(tmp_path: Path) -> None:
     async def test() -> None:
         async with place(tmp_path, serves) as door:
