--- a/martenstep/lab/fleet/judge.py
+++ b/martenstep/lab/fleet/judge.py
@@ -212,13 +212,17 @@
                 for spans in story.runs.values() for span in spans if span.end > story.begins) / 3_600_000
     figures["member_hours"] = hours
     figures["false_deaths_a_member_hour"] = figures["false_deaths"] / hours if hours else 0.0
-    first, told_all = [], []
+    first, told_all, suspected = [], [], []
     dead: defaultdict[str, list[Belief]] = defaultdict(list)
     for belief in beliefs:
         if belief.kind == "dead":
             dead[belief.about].append(belief)
     for kill in story.kills:
         again = min((span.begin for span in story.runs[kill.place] if span.begin > kill.at_ms), default=story.ends)
+        early = [belief.at_ms - kill.at_ms for belief in beliefs if belief.kind == "suspect"
+                 and belief.about == kill.who and kill.at_ms <= belief.at_ms < again]
+        if early:
+            suspected.append(min(early))
         told = {belief.place: belief.at_ms - kill.at_ms for belief in reversed(dead[kill.who])
                 if kill.at_ms <= belief.at_ms < again}
         still = {place for place, spans in story.runs.items() if place != kill.place
@@ -227,6 +231,8 @@
             first.append(min(told.values()))
             if still <= told.keys():
                 told_all.append(max(told[place] for place in still))
+    if suspected:
+        figures["first_suspicion_ms"] = _middle(suspected)
     if first:
         figures["first_detection_ms"] = _middle(first)
     if told_all:
--- a/martenstep/lab/fleet/virtual.py
+++ b/martenstep/lab/fleet/virtual.py
@@ -14,6 +14,7 @@
 
 from martenstep.lab.emulate.core import START_MS, Sim, Timer
 from martenstep.lab.fleet import fleet_pb2 as pb
+from martenstep.lab.fleet.baseline import Heartbeats
 from martenstep.lab.fleet.records import Belief, Held, Record, Truth, View
 from martenstep.lab.fleet.relay import Forger
 from martenstep.lab.fleet.schedule import Member, Step, members_of, steps_of
@@ -22,6 +23,7 @@
 from martenstep.members.gossip.facts import Fact, State
 from martenstep.members.gossip.wire import Keys, WireError
 
+Core = Gossip | Heartbeats
 KEY = b"a key for the emulated fleet only"
 PORT = 7946
 LATENCY_MS, JITTER_MS = 0.3, 0.3  # one way, within a room or between rooms
@@ -51,7 +53,7 @@
     address: Address
     disk: Disk
     old: Disk | None = None
-    core: Gossip | None = None
+    core: Core | None = None
     paused: bool = False
     offset: float = 0.0  # of its clock: monotonic clocks of two machines have nothing in common
     inbox: list[bytes] = field(default_factory=list)
@@ -63,8 +65,9 @@
 class World:
     """A fleet in virtual time."""
 
-    def __init__(self, schedule: pb.Schedule, seed: int, make: Callable[..., Gossip] = Gossip) -> None:
-        self.schedule, self.seed, self._make = schedule, seed, make
+    def __init__(self, schedule: pb.Schedule, seed: int, make: Callable[..., Core] | None = None) -> None:
+        self.schedule, self.seed = schedule, seed
+        self._make: Callable[..., Core] = make or (Heartbeats if schedule.heartbeats else Gossip)
         self.sim = Sim()
         self.rng = random.Random(f"{schedule.name} {seed}")
         self.members = members_of(schedule)
@@ -91,7 +94,8 @@
     def settings(self) -> Settings:
         """Of every member."""
         schedule = self.schedule
-        seeds = tuple(self.places[member.name].address for member in self.members[: schedule.seeds])
+        number = schedule.members if schedule.heartbeats else schedule.seeds
+        seeds = tuple(self.places[member.name].address for member in self.members[:number])
         return Settings("emulated", seeds, period_ms=schedule.period_ms, reclaim_ms=schedule.reclaim_ms,
                         suspect_least_ms=schedule.suspect_least_ms)
 
@@ -147,7 +151,7 @@
         # A millionth of a millisecond late: sums with an offset are not exact, and too early would wake for ever.
         place.timer = self.sim.at(core.next_at - place.offset + late + 1e-6, self._wake, place, core)
 
-    def _wake(self, place: Place, core: Gossip) -> None:
+    def _wake(self, place: Place, core: Core) -> None:
         if place.core is core and not place.paused:
             core.wake(self.sim.now + place.offset)
             self._after(place)
@@ -178,7 +182,7 @@
         else:
             self._deliver(place, place.core, data)
 
-    def _deliver(self, place: Place, core: Gossip, data: bytes) -> None:
+    def _deliver(self, place: Place, core: Core, data: bytes) -> None:
         if place.core is not core:
             return
         if place.paused:
@@ -187,13 +191,13 @@
         core.datagram(self.sim.now + place.offset, data)
         self._after(place)
 
-    def _dial(self, place: Place, core: Gossip, dial: Dial) -> None:
+    def _dial(self, place: Place, core: Core, dial: Dial) -> None:
         """An exchange over a stream."""
         give_up = self.sim.after(STREAM_MS, self._answered, place, core, dial, None, None)
         body = core.exchange_opens(dial.token)
         self._carry(place, core, dial, body, give_up)
 
-    def _carry(self, place: Place, core: Gossip, dial: Dial, body: bytes, give_up: Timer) -> None:
+    def _carry(self, place: Place, core: Core, dial: Dial, body: bytes, give_up: Timer) -> None:
         target = self._at.get(dial.to)
         if target is None:
             self.sim.after(LATENCY_MS * 2, self._answered, place, core, dial, None, give_up)  # refused
@@ -204,7 +208,7 @@
         way = LATENCY_MS * 3 + self.wires.stream_ms(source, sink, len(body))
         self.sim.after(way, self._serve, place, core, dial, target, body, give_up)
 
-    def _serve(self, place: Place, core: Gossip, dial: Dial, target: Place, body: bytes, give_up: Timer) -> None:
+    def _serve(self, place: Place, core: Core, dial: Dial, target: Place, body: bytes, give_up: Timer) -> None:
         if target.core is None or target.paused:
             return  # the kernel takes the connection, and nobody answers
         try:
@@ -218,7 +222,7 @@
         way = LATENCY_MS + (self.wires.stream_ms(source, sink, len(answer)) if answer is not None else 0.0)
         self.sim.after(way, self._answered, place, core, dial, answer, give_up)
 
-    def _answered(self, place: Place, core: Gossip, dial: Dial, body: bytes | None, give_up: Timer | None) -> None:
+    def _answered(self, place: Place, core: Core, dial: Dial, body: bytes | None, give_up: Timer | None) -> None:
         if place.core is not core:
             return
         if place.paused:
