--- a/martenstep/files.py
+++ b/martenstep/files.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
+import json
 import os
+import time
 from pathlib import Path
 from typing import Protocol
 
@@ -47,16 +50,49 @@
         """Remove a file."""
 
 
+FAULTS = "MARTENSTEP_DISK_FAULTS"  # the lab's: a file that tells what is wrong with the disk, read at each operation
+
+
+class Faults:
+    """What the lab has the disk do: `full`, `sync_fails`, or `sync_ms` more for each sync."""
+
+    def __init__(self, file: Path) -> None:
+        self._file = file
+
+    def _told(self) -> dict[str, float]:
+        try:
+            told = json.loads(self._file.read_bytes())
+        except (OSError, ValueError):
+            return {}
+        return told if isinstance(told, dict) else {}
+
+    def write(self) -> None:
+        """Before bytes are written; raises OSError."""
+        if self._told().get("full"):
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    def sync(self) -> None:
+        """Before a sync; raises OSError."""
+        told = self._told()
+        time.sleep(told.get("sync_ms", 0.0) / 1000)
+        if told.get("sync_fails"):
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+
+
 class _DiskAppender:
-    def __init__(self, number: int) -> None:
-        self._number = number
+    def __init__(self, number: int, faults: Faults | None = None) -> None:
+        self._number, self._faults = number, faults
 
     def write(self, data: bytes) -> None:
+        if self._faults is not None:
+            self._faults.write()
         view = memoryview(data)
         while view:
             view = view[os.write(self._number, view):]
 
     def sync(self) -> None:
+        if self._faults is not None:
+            self._faults.sync()
         os.fdatasync(self._number)
 
     def close(self) -> None:
@@ -72,6 +108,7 @@
 
     def __init__(self, path: Path) -> None:
         self._path = path
+        self._faults = Faults(Path(os.environ[FAULTS])) if os.environ.get(FAULTS) else None
         path.mkdir(parents=True, exist_ok=True)
         self._lock = os.open(path / "lock", os.O_RDWR | os.O_CREAT, 0o644)
         try:
@@ -106,19 +143,21 @@
     def create(self, name: str) -> Appender:
         number = os.open(self._path / name, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND, 0o644)
         self._sync_directory()
-        return _DiskAppender(number)
+        return _DiskAppender(number, self._faults)
 
     def append(self, name: str, size: int) -> Appender:
         number = os.open(self._path / name, os.O_WRONLY | os.O_APPEND)
         os.ftruncate(number, size)
         os.fsync(number)
-        return _DiskAppender(number)
+        return _DiskAppender(number, self._faults)
 
     def write_aside(self, name: str, data: bytes) -> None:
         aside = self._path / f"{name}.aside"
         number = os.open(aside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
         try:
-            _DiskAppender(number).write(data)
+            _DiskAppender(number, self._faults).write(data)
+            if self._faults is not None:
+                self._faults.sync()
             os.fsync(number)
         finally:
             os.close(number)
--- a/martenstep/lab/fleet/rig.py
+++ b/martenstep/lab/fleet/rig.py
@@ -24,10 +24,11 @@
 from google.protobuf import text_format
 
 from martenstep.config import door_pb2 as cfg
+from martenstep.files import FAULTS
 from martenstep.lab.fleet import fleet_pb2 as pb
 from martenstep.lab.fleet.records import Belief, Held, Record, Truth, View, write_records
 from martenstep.lab.fleet.relay import Forger, Relay
-from martenstep.lab.fleet.schedule import Member, Step, members_of, steps_of
+from martenstep.lab.fleet.schedule import DISK, Member, Step, members_of, steps_of
 from martenstep.lab.fleet.wires import Wires
 from martenstep.lab.play import PlayError, Process
 from martenstep.members.gossip.core import Address
@@ -60,6 +61,11 @@
         """What it keeps."""
         return self.folder / "disk"
 
+    @property
+    def faults(self) -> Path:
+        """What its disk does wrong."""
+        return self.folder / "disk-faults.json"
+
 
 def door_settings(schedule: pb.Schedule, place: Place, number: int, seeds: list[Address], key_file: Path,
                   feed_port: int, record: Path) -> cfg.Door:
@@ -192,7 +198,8 @@
         settings.write_text(text_format.MessageToString(door), encoding="utf-8")
         if place.log is None:
             place.log = (place.folder / "door.log").open("ab")
-        place.process = Process(place.name, ["serve", str(settings)], place.log)
+        place.process = Process(place.name, ["serve", str(settings)], place.log,
+                                {FAULTS: str(place.faults)})
         place.paused = False
         await place.process.start()
         if "fleet" not in place.process.ready:
@@ -294,11 +301,20 @@
                     self._spawn(self._end(place, leave=what == pb.LEAVE))
                 else:
                     self._spawn(self._again(place, entry.disk))
+        elif what in DISK:
+            for place in places:
+                self._disk(place, entry, step.on)
         elif what in (pb.TWIN, pb.SQUAT):
             self._spawn(self._other(places, what, step.on))
         elif what == pb.FORGE and step.on:
             self._spawn(self._forge(entry))
 
+    @staticmethod
+    def _disk(place: Place, entry: pb.Break, on: bool) -> None:
+        """Its file layer reads this at each operation."""
+        told = {pb.DISK_FULL: {"full": 1}, pb.SYNC_FAILS: {"sync_fails": 1}, pb.SYNC_SLOW: {"sync_ms": entry.ms}}
+        place.faults.write_bytes(msgspec.json.encode(told[entry.what] if on else {}))
+
     def _pause(self, place: Place, on: bool) -> None:
         if place.process is None or not place.process.running or place.paused == on:
             return
--- a/martenstep/lab/fleet/schedule.py
+++ b/martenstep/lab/fleet/schedule.py
@@ -16,7 +16,8 @@
 LONGEST_MS = 4 * 3_600_000.0
 WIRE = (pb.CUT, pb.LOSS, pb.DELAY, pb.DUPLICATE, pb.REORDER, pb.CORRUPT, pb.STALL, pb.BANDWIDTH, pb.REPLAY)
 SHARES = (pb.LOSS, pb.DUPLICATE, pb.REORDER, pb.CORRUPT, pb.REPLAY)
-WITH_MS = (pb.DELAY, pb.REORDER, pb.REPLAY, pb.LATE, pb.CLOCK)
+WITH_MS = (pb.DELAY, pb.REORDER, pb.REPLAY, pb.LATE, pb.CLOCK, pb.SYNC_SLOW)
+DISK = (pb.DISK_FULL, pb.SYNC_FAILS, pb.SYNC_SLOW)
 WITH_END = (pb.PAUSE, pb.TWIN, pb.SQUAT)
 
 
@@ -134,7 +135,7 @@
         if entry.within_ms:
             starts = [(entry.at_ms + rng.uniform(0, entry.within_ms), (name,)) for name in who]
         for at_ms, those in starts:
-            until = at_ms + entry.for_ms if entry.for_ms else (end if entry.what in WIRE else 0.0)
+            until = at_ms + entry.for_ms if entry.for_ms else (end if entry.what in WIRE + DISK else 0.0)
             if entry.every_ms:
                 on, stop = at_ms, until or end
                 while on < stop:
--- a/martenstep/lab/fleet/virtual.py
+++ b/martenstep/lab/fleet/virtual.py
@@ -59,6 +59,7 @@
     inbox: list[bytes] = field(default_factory=list)
     timer: Timer | None = None
     late_ms: float = 0.0
+    disk_broken: bool = False
     starts: int = 0
 
 
@@ -101,9 +102,11 @@
 
     def start(self, place: Place) -> None:
         """Its process begins."""
-        place.disk.starts += 1
         place.starts += 1
-        me = Fact(place.member.name, 0, place.disk.identity, place.disk.starts, State.ALIVE,
+        starts = place.disk.starts + 1
+        if not place.disk_broken:  # else this start is not kept, and the next begins as low
+            place.disk.starts = starts
+        me = Fact(place.member.name, 0, place.disk.identity, starts, State.ALIVE,
                   self.rng.getrandbits(62), *place.address, place.member.zone)
         place.core = self._make(self.settings(), me, self._keys, random.Random(self.rng.getrandbits(62)),
                                 self.sim.now + place.offset)
@@ -270,6 +273,9 @@
         elif what == pb.LATE:
             for place in places:
                 place.late_ms = entry.ms if step.on else 0.0
+        elif what in (pb.DISK_FULL, pb.SYNC_FAILS):
+            for place in places:
+                place.disk_broken = step.on
         elif what == pb.TWIN:
             self._twin(places[0], step.on)
         elif what == pb.SQUAT:
--- a/martenstep/lab/play.py
+++ b/martenstep/lab/play.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import shutil
 import signal
 import socket
@@ -60,8 +61,10 @@
 class Process:
     """One child, from its ready line to its end."""
 
-    def __init__(self, name: str, words: list[str], log: BinaryIO) -> None:
+    def __init__(self, name: str, words: list[str], log: BinaryIO, more: dict[str, str] | None = None) -> None:
+        """`more` goes into its environment."""
         self.name, self._words, self._log = name, words, log
+        self._environment = {**os.environ, **more} if more else None
         self._process: asyncio.subprocess.Process | None = None
         self.ready: dict[str, int] = {}
 
@@ -69,7 +72,8 @@
         """Start it and wait for its ready line; raises PlayError."""
         self._process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "martenstep", *self._words, stdin=asyncio.subprocess.DEVNULL,
-            stdout=asyncio.subprocess.PIPE, stderr=self._log, start_new_session=True)
+            stdout=asyncio.subprocess.PIPE, stderr=self._log, env=self._environment,
+            start_new_session=True)
         assert self._process.stdout is not None
         try:
             line = await asyncio.wait_for(self._process.stdout.readline(), READY_S)
--- a/tests/test_fleet_virtual.py
+++ b/tests/test_fleet_virtual.py
@@ -20,7 +20,7 @@
 
 FOLDER = Path(__file__).resolve().parents[1] / "days" / "fleet"
 QUICK = ("pauses", "half-paused", "pair-one-way", "unheard", "deaf", "zone-one-way", "three-groups", "halves",
-         "flapping-link", "flapping-process", "third-lost", "all-restarted", "seeds-lost", "names", "forged")
+         "flapping-link", "flapping-process", "third-lost", "all-restarted", "seeds-lost", "names", "forged", "disks")
 PAUSE = ('name: "p" members: 6 length_ms: 12000 settle_ms: 8000 '
          'trouble { what: PAUSE who: "d003" at_ms: 2000 for_ms: 2300 }')
 # Those who suspect d003 stand until long after it has refuted that.
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -16,7 +16,7 @@
 from martenstep.config.settings import parse_door
 from martenstep.config.text import Faults
 from martenstep.door.admin import Admin, DoorCollector
-from martenstep.files import Disk
+from martenstep.files import FAULTS, Disk
 from martenstep.lab.fleet.rig import ask
 from martenstep.members.gossip import identity
 from martenstep.members.gossip.driver import Membership
@@ -204,13 +204,8 @@
         read_keys(tmp_path / "none")
 
 
-def test_an_identity_is_kept_raised_at_each_start_and_never_keeps_a_door_from_starting(tmp_path: Path) -> None:
-    class Full(Disk):
-        """A disk with no room."""
-
-        def write_aside(self, name: str, data: bytes) -> None:
-            raise OSError(28, "No space left on device")
-
+def test_an_identity_is_kept_raised_at_each_start_and_never_keeps_a_door_from_starting(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     rng = random.Random(1)
     with Disk(tmp_path / "a") as disk:
         first, wrong = identity.take_up(disk, rng)
@@ -219,9 +214,16 @@
         disk.write_aside(identity.FILE, b"{")
         third, wrong = identity.take_up(disk, rng)
         assert third.identity != first.identity and third.starts == 1 and "is not read" in wrong
-    with Full(tmp_path / "a") as full:
-        fourth, wrong = identity.take_up(full, rng)
-        assert fourth.starts == 2 and "No space left" in wrong
+    faults = tmp_path / "faults"
+    monkeypatch.setenv(FAULTS, str(faults))
+    for number, (fault, told) in enumerate((('{"full": 1}', "No space left"), ('{"sync_fails": 1}', "Input/output"))):
+        faults.write_text(fault)
+        with Disk(tmp_path / "a") as broken:
+            again, wrong = identity.take_up(broken, rng)
+            assert again.starts == 2 and told in wrong, number
+    faults.write_text("{}")
+    with Disk(tmp_path / "a") as mended:
+        assert identity.take_up(mended, rng)[0].starts == 2
 
 
 def test_faults_of_the_fleets_settings_are_told_by_field() -> None:
