--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import atexit
 import contextlib
 import json
 import os
@@ -49,6 +50,7 @@
 }
 CORE, SERVERS, LOADS, OTHERS = 0, "1,2", ("3", "4"), "5"
 WARM_S = 1.5
+PEERS = 23  # of a door in a fleet
 Started = tuple[subprocess.Popen[str], Any]
 
 
@@ -121,6 +123,15 @@
         guarded += f' tracing {{ file: "{folder}/traces.jsonl" share: {share} }}'
     if "hooks" in kind:
         guarded += f' hooks {{ directory: "{hooks(folder, HOOKS[kind.rpartition(", ")[2]])}" }}'
+    if "fleet" in kind:
+        key = folder / "fleet-key"
+        if not key.exists():
+            key.write_text("ab" * 32)
+            process, told_of = start(OTHERS, "-m", "bench.peers", str(key), str(PEERS))
+            (folder / "fleet-port").write_text(str(told_of["ready"]["port"]))
+            atexit.register(process.kill)
+        guarded += (f' fleet {{ cluster: "bench" key_file: "{key}" '
+                    f'seed {{ port: {(folder / "fleet-port").read_text()} }} }}')
     if "workers" in kind:
         guarded += f" workers {{ count: {int(kind.split()[-2])} share: {'REUSE_PORT' if 'own' in kind else 'PASSED'} }}"
     file.write_text(DOOR.format(store=told, feed=feed, plan=plan, auth=guarded, identity=identity))
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -316,8 +316,9 @@
 class NoProof(Copy):
     """Flaw: takes every disk for its own as it left it."""
 
-    def __init__(self, *words: Any) -> None:
-        super().__init__(*words[:6], proven=True)
+    def __init__(self, me: int, kept: Kept, first: Config, settings: Settings, rng: random.Random, now: float,
+                 proven: bool = True) -> None:
+        super().__init__(me, kept, first, settings, rng, now, True)
 
 
 class VoteKept(Copy):
