--- a/bench/counter.py
+++ b/bench/counter.py
@@ -21,7 +21,7 @@
 from martenstep.counter import frames as fr
 from martenstep.counter.keeper import Keeper
 from martenstep.counter.state import _ADD, ENTRY_ADD, Counter, Limits
-from martenstep.files import Disk
+from martenstep.storage.files import Disk
 
 NAMES = 10_000
 
--- a/bench/stores.py
+++ b/bench/stores.py
@@ -13,9 +13,9 @@
 
 from martenstep.counter.frames import Add
 from martenstep.counter.keeper import Keeper
-from martenstep.counter.log import Writer, open_log
 from martenstep.counter.state import _ADD, ENTRY_ADD, Limits
-from martenstep.files import Disk
+from martenstep.storage.files import Disk
+from martenstep.storage.log import Writer, open_log
 
 GROUP, NAMES, SECONDS = 500, 10_000, 3.0
 Commit = Callable[[int], None]
--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -248,8 +248,8 @@
     """What can be wrong with a log, or with what serves it, is told in a line; exit 1."""
     from martenstep.config.tls import TlsError
     from martenstep.counter.follow import RefusedError
-    from martenstep.counter.log import LogError
-    from martenstep.files import LockedError
+    from martenstep.storage.files import LockedError
+    from martenstep.storage.log import LogError
     try:
         yield
     except (LogError, LockedError, RefusedError, TlsError, OSError) as error:
--- a/martenstep/counter/follow.py
+++ b/martenstep/counter/follow.py
@@ -18,9 +18,9 @@
 from martenstep.backoff import Backoff
 from martenstep.counter.frames import Ack, Entries, Follow, FrameError, Frames, Refused, Status, decode, encode
 from martenstep.counter.keeper import Keeper, rebuild
-from martenstep.counter.log import Writer, likeness, open_log, read_records, records_of
 from martenstep.counter.state import ENTRY_TERM, Limits, term_of
-from martenstep.files import Disk
+from martenstep.storage.files import Disk
+from martenstep.storage.log import Writer, likeness, open_log, read_records, records_of
 
 READ_BYTES = 1 << 20
 AGAIN_LEAST_MS, AGAIN_MOST_MS = 50.0, 2000.0
--- a/martenstep/counter/read.py
+++ b/martenstep/counter/read.py
@@ -7,9 +7,9 @@
 from pathlib import Path
 
 from martenstep.counter.keeper import rebuild
-from martenstep.counter.log import HEADER, LogError, open_log, read_snapshot, scan, segments, snapshots
 from martenstep.counter.state import ENTRY_DOOR, ENTRY_TRY, Counter, Limits, TryEntry, read_door, read_try
-from martenstep.files import Disk
+from martenstep.storage.files import Disk
+from martenstep.storage.log import HEADER, LogError, open_log, read_snapshot, scan, segments, snapshots
 
 
 @dataclass(frozen=True, slots=True)
--- a/martenstep/counter/service.py
+++ b/martenstep/counter/service.py
@@ -41,9 +41,9 @@
     without,
 )
 from martenstep.counter.keeper import Group, Keeper, Session
-from martenstep.counter.log import RECORD, LogError, likeness, read_records, records_of
 from martenstep.counter.state import Limits
-from martenstep.files import Disk
+from martenstep.storage.files import Disk
+from martenstep.storage.log import RECORD, LogError, likeness, read_records, records_of
 
 PART_BYTES = 60_000  # of records in one frame: below the bound of a frame
 SWEEP_S = 1.0  # how often half frames that hang are looked for
--- a/martenstep/lab/fleet/rig.py
+++ b/martenstep/lab/fleet/rig.py
@@ -24,7 +24,6 @@
 from google.protobuf import text_format
 
 from martenstep.config import door_pb2 as cfg
-from martenstep.files import FAULTS
 from martenstep.lab.fleet import fleet_pb2 as pb
 from martenstep.lab.fleet.records import Belief, Held, Record, Truth, View, write_records
 from martenstep.lab.fleet.relay import Forger, Relay
@@ -33,6 +32,7 @@
 from martenstep.lab.play import PlayError, Process
 from martenstep.members.gossip.core import Address
 from martenstep.standins.base import now_ms
+from martenstep.storage.files import FAULTS
 
 MOST_DOORS = 24
 JOIN_S = 30.0  # all must have joined within this of the last being started
--- a/martenstep/lab/report.py
+++ b/martenstep/lab/report.py
@@ -11,9 +11,7 @@
 import msgspec
 
 from martenstep.config.text import Faults
-from martenstep.counter.log import LogError
 from martenstep.counter.read import each_try
-from martenstep.files import LockedError
 from martenstep.lab import day_pb2 as pb
 from martenstep.lab.day import load_day
 from martenstep.lab.rules import (
@@ -32,6 +30,8 @@
     read_lines,
     recorded,
 )
+from martenstep.storage.files import LockedError
+from martenstep.storage.log import LogError
 
 SHOWN = 20  # breaches of a rule in the result
 
--- a/martenstep/members/gossip/driver.py
+++ b/martenstep/members/gossip/driver.py
@@ -20,7 +20,6 @@
 import msgspec
 
 from martenstep.config import door_pb2 as pb
-from martenstep.files import Disk, LockedError
 from martenstep.members.gossip import identity as kept
 from martenstep.members.gossip.core import Datagram, Dial, Event, Gossip, Settings, Stage
 from martenstep.members.gossip.facts import Fact, Says, State
@@ -35,6 +34,7 @@
     frame,
     open_frame,
 )
+from martenstep.storage.files import Disk, LockedError
 
 STREAM_S = 2.0  # an exchange that is not done by then is given up, on both sides
 MOST_STREAMS = 32  # served at once: more are closed, and come again
--- a/martenstep/members/gossip/identity.py
+++ b/martenstep/members/gossip/identity.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from martenstep.files import Files
+from martenstep.storage.files import Files
 
 FILE = "identity.json"
 MOST_ADDRESSES = 64
--- a/martenstep/counter/log.py
+++ b/martenstep/storage/log.py
@@ -22,9 +22,11 @@
 from dataclasses import dataclass
 from itertools import pairwise
 
-from martenstep.counter.frames import crc32c
-from martenstep.files import Appender, Files
+import google_crc32c
 
+from martenstep.storage.files import Appender, Files
+
+crc32c = google_crc32c.value
 MAGIC, SNAP_MAGIC, VERSION = b"MSTEPLOG", b"MSTEPSNP", 1
 HEADER = struct.Struct(">8sIQ8sI")
 SNAP_HEADER = struct.Struct(">8sIQI")
--- a/tests/test_counter_follow.py
+++ b/tests/test_counter_follow.py
@@ -13,11 +13,11 @@
 from martenstep.counter import frames as fr
 from martenstep.counter import service as service_module
 from martenstep.counter.follow import Follower, RefusedError, promote
-from martenstep.counter.log import read_records, records_of
 from martenstep.counter.read import rebuilt, verify
 from martenstep.counter.settings import parse_service
 from martenstep.counter.state import Limits
 from martenstep.interface import Verdict
+from martenstep.storage.log import read_records, records_of
 from tests.socket_rig import run
 from tests.test_counter_service import Desk, Wire, served
 
@@ -226,7 +226,7 @@
         more = "recent_bytes: 100"
         async with served(tmp_path / "a", more) as (service, port):
             await adds(await Wire.to(port, fr.Hello("door", 1)), 1, 50)
-            from martenstep.counter.log import segments
+            from martenstep.storage.log import segments
             [first] = segments(service.keeper.files)
             service.keeper._writer._begin()
             service.keeper.files.remove(first.name)
--- a/tests/test_counter_log.py
+++ b/tests/test_counter_log.py
@@ -13,8 +13,8 @@
 
 from martenstep.counter.frames import Add, Read, Record, Reply, Status, Stored, Total
 from martenstep.counter.keeper import Keeper, Session, rebuild
-from martenstep.counter.log import HEADER, LogError, open_log, segments, snapshots
 from martenstep.counter.state import Counter, Limits
+from martenstep.storage.log import HEADER, LogError, open_log, segments, snapshots
 from tests.counter_rig import Crash, FaultFiles
 
 LIMITS = Limits(window=64, try_window_ms=60_000.0)
--- a/tests/test_counter_service.py
+++ b/tests/test_counter_service.py
@@ -25,8 +25,8 @@
 from martenstep.counter.service import Service, open_keeper
 from martenstep.counter.settings import parse_service
 from martenstep.counter.state import Limits
-from martenstep.files import LockedError
 from martenstep.interface import Verdict
+from martenstep.storage.files import LockedError
 from tests.socket_rig import run
 
 EVERY: list[fr.Frame] = [
