--- a/martenstep/replication/core.py
+++ b/martenstep/replication/core.py
@@ -161,7 +161,7 @@
         self.out: list[Action] = []
         self.counts: Counter[str] = Counter()
         self._ticket, self._durable = 0, 0
-        self._waiting: list[tuple[int, Callable[[float], None]]] = []  # what leaves once a ticket is durable
+        self._waiting: list[tuple[int, Send | int]] = []  # by ticket: what leaves then, or the term of an own vote
         self._durable_index = self.last_index
         self._index_of: dict[int, int] = {}  # the log's end when a ticket was written
         self._delivered = self.commit
@@ -262,7 +262,12 @@
             return
         self._durable = max(self._durable, ticket)
         while self._waiting and self._waiting[0][0] <= self._durable:
-            self._waiting.pop(0)[1](now)
+            due = self._waiting.pop(0)[1]
+            if isinstance(due, Send):
+                self.out.append(due)
+            elif self.role is Role.CANDIDATE and self.term == due:
+                self._votes.add(self.me)
+                self._count_votes(now)
         self._durable_index = min(self._index_of.get(ticket, self._durable_index), self.last_index)
         for old in [old for old in self._index_of if old < ticket]:
             del self._index_of[old]
@@ -281,7 +286,7 @@
         if self._durable >= self._ticket:
             self.out.append(Send(to, message))
         else:
-            self._waiting.append((self._ticket, lambda now: self.out.append(Send(to, message))))
+            self._waiting.append((self._ticket, Send(to, message)))
 
     # Roles.
 
@@ -328,15 +333,8 @@
         self._become(Role.CANDIDATE, None)
         self._arm(now)
         self._votes = set()
-        ticket, term = self._write(), self.term
-        question = AskVote(term, self.last_index, self.last_term, False, handed)
-        self._ask_votes(question)
-
-        def own_vote(now: float) -> None:
-            if self.role is Role.CANDIDATE and self.term == term:
-                self._votes.add(self.me)
-                self._count_votes(now)
-        self._waiting.append((ticket, own_vote))
+        self._waiting.append((self._write(), self.term))
+        self._ask_votes(AskVote(self.term, self.last_index, self.last_term, False, handed))
 
     def _ask_votes(self, question: AskVote) -> None:
         for other in self.config.voters:
@@ -495,7 +493,7 @@
             return
         before = self.term_at(peer.next - 1)
         assert before is not None
-        self.out.append(Send(other, Append(self.term, peer.next - 1, before, entries, self.commit, self._round)))
+        self.out.append(Send(other, Append(self.term, peer.next - 1, before, tuple(entries), self.commit, self._round)))
         peer.next = at
 
     def _feed_piece(self, peer: _Peer, other: int, beat: bool) -> None:
@@ -672,7 +670,7 @@
         undo what was acknowledged."""
         for number, entry in enumerate(told.entries):
             if self.term_at(entry.index) != entry.term:
-                return told.entries[number:]
+                return list(told.entries[number:])
         return []
 
     def _acknowledged(self, now: float, source: int, told: Appended) -> None:
--- a/martenstep/replication/messages.py
+++ b/martenstep/replication/messages.py
@@ -82,7 +82,7 @@
     term: Number
     before_index: Number
     before_term: Number
-    entries: list[Entry]
+    entries: tuple[Entry, ...]
     commit: Number
     round: Number  # of asking: what an answer to it proves of the lease
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -88,7 +88,7 @@
 
 def acknowledgements_leave_after_they_are_durable(make: Make) -> bool:
     copy = follower(make)
-    copy.message(LATER, 1, Append(1, 0, 0, [entry(1, 1)], 0, 1))
+    copy.message(LATER, 1, Append(1, 0, 0, (entry(1, 1),), 0, 1))
     early = bool(sent(copy, Appended))
     synced(copy, LATER)
     assert sent(copy, Appended)[-1] == Appended(1, True, 1, 1)
@@ -97,7 +97,7 @@
 
 def who_hears_a_leader_votes_against_nobody(make: Make) -> bool:
     copy = follower(make)
-    copy.message(LATER, 1, Append(1, 0, 0, [], 0, 1))
+    copy.message(LATER, 1, Append(1, 0, 0, (), 0, 1))
     synced(copy, LATER)
     copy.out.clear()
     copy.message(LATER + 100, 3, AskVote(2, 5, 1, False))
@@ -121,7 +121,7 @@
 
 def an_older_message_cuts_nothing_off(make: Make) -> bool:
     copy = follower(make, Kept(term=1, entries=[entry(1, 1), entry(2, 1)]))
-    copy.message(LATER, 1, Append(1, 0, 0, [entry(1, 1)], 0, 1))
+    copy.message(LATER, 1, Append(1, 0, 0, (entry(1, 1),), 0, 1))
     return copy.last_index == 2
 
 
@@ -190,7 +190,7 @@
 def an_unproven_copy_promises_nothing(make: Make) -> bool:
     copy = doubted(make)
     copy.message(LATER, 3, AskVote(9, 9, 9, False))
-    copy.message(LATER, 3, Append(9, 1, 1, [], 0, 1))
+    copy.message(LATER, 3, Append(9, 1, 1, (), 0, 1))
     synced(copy, LATER)
     return not sent(copy, GiveVote) and not sent(copy, Appended)
 
