Fleet figures: traffic is reckoned from the begin on, of doors that ran through

Cause: the study's detection arm told 581 bytes a second a door at 3 doors and 1,395 at 96, where nothing should grow with the fleet. Views at the begin are taken off now, and the study has a quiet arm.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -33,6 +33,11 @@
             f'trouble {{ what: KILL who: "*" part: {1 / members:.6f} at_ms: 2000 }}')
 
 
+def quiet(members: int, plain: bool) -> str:
+    """Nothing happens: what it costs to be together."""
+    return f'name: "quiet" {_seeds(members)} heartbeats: {str(plain).lower()} length_ms: 40000 settle_ms: 0'
+
+
 def losses(members: int, share: float, plain: bool) -> str:
     """So many datagrams are lost, evenly, for five minutes."""
     lost = f"trouble {{ what: LOSS share: {share} at_ms: 0 }}" if share else ""
@@ -103,11 +108,12 @@
     import matplotlib
     matplotlib.use("svg")
     from matplotlib import pyplot
-    for figure, title in (("known_to_all_ms", "a death known to all, ms"), ("bytes_a_s", "bytes a second, a member")):
+    for arm, figure, title in (("detection", "known_to_all_ms", "a death known to all, ms"),
+                               ("quiet", "bytes_a_s", "bytes a second, a member")):
         drawn, axes = pyplot.subplots(figsize=(6, 4))
         for way in ("membership", "heartbeats"):
             points = [(each["members"], each[figure]) for each in rows
-                      if each["arm"] == "detection" and each["way"] == way and each[figure] is not None]
+                      if each["arm"] == arm and each["way"] == way and each[figure] is not None]
             if points:
                 axes.plot(*zip(*points, strict=True), marker="o", label=way)
         axes.set_xscale("log")
@@ -134,6 +140,7 @@
     arms: list[tuple[str, int, bool, str]] = []
     for plain in (False, True):
         arms += [("detection", size, plain, detection(size, plain)) for size in wanted]
+        arms += [("quiet", size, plain, quiet(size, plain)) for size in wanted]
         arms += [(f"loss {share:g}", 24, plain, losses(24, share, plain)) for share in LOSSES]
         arms += [("pauses of 2.4 s", 24, plain, pauses(24, plain)),
                  ("loops late by 300 ms", 24, plain, late(24, plain))]
--- a/martenstep/lab/fleet/judge.py
+++ b/martenstep/lab/fleet/judge.py
@@ -130,7 +130,8 @@
     _alive(story, beliefs, verdict, lossy)
     if not lossy:
         _witness(story, beliefs, verdict)
-    views = [r for r in every if isinstance(r, View)]
+    over = next((r.at_ms for r in every if isinstance(r, Truth) and r.kind == "faults over"), story.begins)
+    views = [r for r in every if isinstance(r, View) and r.at_ms >= over]
     _agree(story, views, verdict)
     _forget(schedule, story, views, verdict)
     _figures(schedule, story, every, beliefs, verdict)
@@ -253,9 +254,12 @@
     figures["suspicions"] = sum(1 for b in beliefs if b.kind == "suspect" and b.fields.get("by")
                                 == story.name_of.get(b.place))
     figures["events"] = len(beliefs)
-    views = [r for r in every if isinstance(r, View)]
-    if views:
-        seconds = sum((story.ends - spans[-1].begin) / 1000 for place in (view.place for view in views)
-                      if (spans := story.runs[place]))
+    at_begin = {r.place: r.counts for r in every if isinstance(r, View) and r.at_ms <= story.begins}
+    at_end = {r.place: r.counts for r in every if isinstance(r, View) and r.at_ms > story.begins}
+    # Of those that ran through, from the begin on: how they came together is not what it costs to stay so.
+    through = [place for place in at_end if place in at_begin and story.runs[place][-1].begin <= story.begins]
+    if through and story.ends > story.begins:
+        seconds = (story.ends - story.begins) / 1000 * len(through)
         for count in ("sent", "sent_bytes", "exchanges"):
-            figures[f"{count}_a_second"] = sum(view.counts.get(count, 0.0) for view in views) / max(seconds, 1e-9)
+            figures[f"{count}_a_second"] = sum(at_end[place].get(count, 0.0) - at_begin[place].get(count, 0.0)
+                                               for place in through) / seconds
--- a/martenstep/lab/fleet/rig.py
+++ b/martenstep/lab/fleet/rig.py
@@ -244,6 +244,8 @@
     async def play(self) -> None:
         """The time line, then the time to settle, then what each door holds."""
         schedule = self._schedule
+        for place in self._running():
+            self._views(place, await self._view(place))
         begin = now_ms()
         self._truth("begins")
         for place in self._places.values():
--- a/martenstep/lab/fleet/virtual.py
+++ b/martenstep/lab/fleet/virtual.py
@@ -336,6 +336,7 @@
         while sim.now < until and not self._all_in():
             sim.run(sim.now + 100.0)
         self.started_ms = sim.now
+        self._views()
         self._truth("begins")
         for place in self.places.values():
             place.old = Disk(place.disk.identity, place.disk.starts)
