Copies run on sockets and files; the rig bears a kill while a door starts

`replication/links.py` carries sealed frames between copies that name each other by their disks, `host.py` drives core, disk (a thread, one sync for all that came together), links and a state machine. Five tests kill leaders, empty a disk, take a new copy in and the old one out, restart a machine without its witness, fill a disk, and speak with another key or to another disk.

Two real-process schedules had failed in the rig itself, not in the doors: flapping-process killed d003 before it was ready, which was told as a door that does not start; forged asked for a stepped wall clock, which did nothing in virtual time either: that fault is gone, since no code here reads such a clock.

--- a/martenstep/lab/fleet/judge.py
+++ b/martenstep/lab/fleet/judge.py
@@ -74,6 +74,8 @@
                 self.lives[place] = record.fields["life"]
                 self.name_of[place] = record.who
             elif kind in ("killed", "left"):
+                if not self.runs[place] or self.runs[place][-1].end < at:
+                    continue  # it was ended before it had begun to take part
                 self.runs[place][-1].end = at
                 self.lives.pop(place, None)
                 if self.stood[place] and self.stood[place][-1].end == float("inf"):
--- a/martenstep/lab/fleet/rig.py
+++ b/martenstep/lab/fleet/rig.py
@@ -39,7 +39,7 @@
 ASK_S = 5.0  # an admin listener that does not answer by then is silent
 POLL_S = 0.1
 FILES_A_PAIR = 4  # datagrams, streams, and a stream under way on both sides
-VIRTUAL_ONLY = (pb.LATE, pb.CLOCK)
+VIRTUAL_ONLY = (pb.LATE,)
 
 
 @dataclass(slots=True)
@@ -53,6 +53,7 @@
     process: Process | None = None
     starts: int = 0
     paused: bool = False
+    ended: bool = False  # the process was ended by the schedule
     ways: list[tuple[Address, Address]] = field(default_factory=list)
     log: BinaryIO | None = None
 
@@ -200,8 +201,13 @@
             place.log = (place.folder / "door.log").open("ab")
         place.process = Process(place.name, ["serve", str(settings)], place.log,
                                 {FAULTS: str(place.faults)})
-        place.paused = False
-        await place.process.start()
+        place.paused = place.ended = False
+        try:
+            await place.process.start()
+        except PlayError:
+            if place.ended:
+                return  # killed by the schedule before it was ready
+            raise
         if "fleet" not in place.process.ready:
             raise PlayError(f"{place.name}: has no fleet; see its log")
 
@@ -327,6 +333,7 @@
     async def _end(self, place: Place, leave: bool = False) -> None:
         if place.process is None or not place.process.running:
             return
+        place.ended = True
         if not leave:
             await place.process.kill()
             self._truth("killed", place)
--- /dev/null
+++ b/martenstep/replication/host.py
@@ -0,0 +1,212 @@
+"""One copy of a group as it runs: the core, its disk, its links, and the state machine that the entries feed.
+
+Writes are made by a thread, one sync for all that came together (group commit); what the core promised on them leaves
+only when it is told that they are durable.  A write that fails halts the copy: it says nothing more until it is started
+again, and the group goes on without it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from martenstep.replication.core import Became, Committed, Copy, Installed, Role, Send, Settings, Write
+from martenstep.replication.links import Links
+from martenstep.replication.messages import Config, Kind, Message
+from martenstep.replication.store import ENTRY_BYTES, Store
+
+COMPACT_ENTRIES = 10_000  # delivered since the last snapshot
+READ_S = 1.0  # a read that finds no lease by then is given up
+
+
+class Machine(Protocol):
+    """What entries feed: the same entries in the same order make the same state."""
+
+    def apply(self, data: bytes) -> Any:
+        """One command; gives its result, for who proposed it."""
+
+    def snapshot(self) -> bytes:
+        """All of the state."""
+
+    def restore(self, body: bytes) -> None:
+        """In place of all that was."""
+
+
+class NotLeaderError(Exception):
+    """Another leads, `leader` where it is known; nothing was proposed."""
+
+    def __init__(self, leader: int | None) -> None:
+        self.leader = leader
+        super().__init__(f"not the leader; {leader} may be" if leader is not None else "not the leader")
+
+
+class InDoubtError(Exception):
+    """It was proposed, and whether it stands is not known here: ask again with the same sequence."""
+
+
+def now_ms() -> float:
+    """The machine's monotonic clock."""
+    return time.monotonic() * 1000
+
+
+class Host:
+    """One copy."""
+
+    def __init__(self, group: str, store: Store, first: Config, machine: Machine, links: Callable[..., Links],
+                 note: Callable[[str, dict[str, Any]], None], settings: Settings | None = None) -> None:
+        """`links` makes the connections, given what takes their messages."""
+        self._group, self._store, self._machine, self._note = group, store, machine, note
+        kept = store.image()
+        if kept.snapshot is not None:
+            machine.restore(kept.snapshot.body)
+        self.copy = Copy(store.id, kept, first, settings or Settings(), random.Random(random.SystemRandom().random()),
+                         now_ms(), store.proven)
+        self.links = links(self._take)
+        self._waiting: dict[int, tuple[int, asyncio.Future[Any]]] = {}
+        self._writes: list[Write] = []
+        self._news = asyncio.Event()
+        self._timer: asyncio.TimerHandle | None = None
+        self._writing: asyncio.Task[None] | None = None
+        self._proved_at: int | None = None  # ticket after which the disk counts as proven
+        self._moved = asyncio.Event()
+
+    async def start(self, host: str, port: int) -> int:
+        """Bind and take part; gives the port."""
+        bound = await self.links.start(host, port)
+        self._writing = asyncio.get_running_loop().create_task(self._write())
+        self._after()
+        return bound
+
+    async def stop(self) -> None:
+        """End.  Nothing is told: to hand over first is `hand_over`."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self.links.stop()
+        if self._writing is not None:
+            self._writing.cancel()
+            await asyncio.gather(self._writing, return_exceptions=True)
+        for _, future in self._waiting.values():
+            if not future.done():
+                future.set_exception(InDoubtError("this copy ended"))
+        self._waiting.clear()
+
+    # What users ask.
+
+    async def propose(self, data: bytes) -> Any:
+        """The machine's result, once the entry stands.  Raises NotLeaderError, InDoubtError, ValueError."""
+        if len(data) > ENTRY_BYTES:
+            raise ValueError(f"an entry has at most {ENTRY_BYTES} bytes, this one {len(data)}")
+        index = self.copy.propose(now_ms(), data)
+        if index is None:
+            raise NotLeaderError(self.copy.leader)
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._waiting[index] = self.copy.term, future
+        self._after()
+        return await future
+
+    async def read(self) -> None:
+        """Return once what the machine holds misses nothing that stood when this was asked.  Raises NotLeaderError."""
+        try:
+            async with asyncio.timeout(READ_S):
+                while not self.copy.may_read(now_ms()):
+                    if self.copy.role is not Role.LEADER:
+                        raise NotLeaderError(self.copy.leader)
+                    await self._moved.wait()
+        except TimeoutError:
+            raise NotLeaderError(None) from None
+
+    def change(self, config: Config) -> bool:
+        """Another group, one voter more or less; False where that may not be now."""
+        done = self.copy.change(now_ms(), config)
+        self._after()
+        return done
+
+    def hand_over(self, to: int | None = None) -> bool:
+        """Let another lead."""
+        done = self.copy.hand_over(now_ms(), to)
+        self._after()
+        return done
+
+    # The core.
+
+    def _take(self, source: int, message: Message) -> None:
+        self.copy.message(now_ms(), source, message)
+        self._after()
+
+    def _wake(self) -> None:
+        self.copy.wake(now_ms())
+        self._after()
+
+    def _after(self) -> None:
+        copy = self.copy
+        while copy.out:
+            actions, copy.out = copy.out, []
+            self._carry_out(actions)
+            # The machine holds all that is delivered now, and no write of before is left behind.
+            if copy.commit - copy.base >= COMPACT_ENTRIES:
+                copy.compact(copy.commit, self._machine.snapshot())
+        if copy.proven and not self._store.proven and self._proved_at is None:
+            self._proved_at = max((write.ticket for write in self._writes), default=0)
+        if self._timer is not None:
+            self._timer.cancel()
+        if copy.next_at < float("inf") and not copy.halted:
+            self._timer = asyncio.get_running_loop().call_at(copy.next_at / 1000, self._wake)
+        self._moved.set()
+        self._moved = asyncio.Event()
+
+    def _carry_out(self, actions: list[Any]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self.links.send(action.to, action.message)
+            elif isinstance(action, Write):
+                self._writes.append(action)
+                self._news.set()
+            elif isinstance(action, Committed):
+                self._committed(action)
+            elif isinstance(action, Installed):
+                self._machine.restore(action.snapshot.body)
+            else:
+                self._became(action)
+
+    def _committed(self, committed: Committed) -> None:
+        entry = committed.entry
+        result = self._machine.apply(entry.data) if entry.kind is Kind.COMMAND else None
+        term, future = self._waiting.pop(entry.index, (0, None))
+        if future is not None and not future.done():
+            if term == entry.term:
+                future.set_result(result)
+            else:
+                future.set_exception(InDoubtError("another entry stands in its place: it does not"))
+
+    def _became(self, became: Became) -> None:
+        self._note("copy", {"group": self._group, "role": became.role.value, "term": became.term,
+                            "leader": became.leader})
+        if became.role is not Role.LEADER:
+            # Whether they stand, the next leader knows.
+            for _, future in self._waiting.values():
+                if not future.done():
+                    future.set_exception(InDoubtError("this copy leads no more"))
+            self._waiting.clear()
+
+    async def _write(self) -> None:
+        while True:
+            await self._news.wait()
+            self._news.clear()
+            batch, self._writes = self._writes, []
+            if not batch:
+                continue
+            try:
+                await asyncio.to_thread(self._store.write, batch)
+            except OSError as error:
+                self._note("copy halted", {"group": self._group, "error": str(error)})
+                self.copy.failed()
+                self._became(Became(Role.FOLLOWER, self.copy.term, None))
+                return
+            if self._proved_at is not None and batch[-1].ticket >= self._proved_at:
+                self._store.proved()
+                self._proved_at = None
+            self.copy.written(now_ms(), batch[-1].ticket)
+            self._after()
--- /dev/null
+++ b/tests/test_replication_host.py
@@ -0,0 +1,214 @@
+"""Copies as they run, on sockets and files: kills, empty disks, a disk that fails, wrong keys and wrong disks."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from martenstep.members.gossip.wire import Keys
+from martenstep.replication.core import Role, Settings
+from martenstep.replication.host import Host, InDoubtError, NotLeaderError
+from martenstep.replication.links import Links
+from martenstep.replication.messages import Config
+from martenstep.replication.store import Store
+from martenstep.storage.files import FAULTS, Disk
+from tests.socket_rig import run
+
+KEYS = Keys([b"k" * 32])
+QUICK = Settings(election_ms=150.0, beat_ms=30.0, ask_ms=50.0)
+
+
+class Sum:
+    """Adds up; tells the total."""
+
+    def __init__(self) -> None:
+        self.total, self.applied = 0, 0
+
+    def apply(self, data: bytes) -> int:
+        self.total += int(data)
+        self.applied += 1
+        return self.total
+
+    def snapshot(self) -> bytes:
+        return b"%d %d" % (self.total, self.applied)
+
+    def restore(self, body: bytes) -> None:
+        total, applied = body.split()
+        self.total, self.applied = int(total), int(applied)
+
+
+class Group:
+    """Several hosts in one loop, each with its folders."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.where: dict[int, tuple[str, int]] = {}
+        self.hosts: dict[int, Host] = {}
+        self.machines: dict[int, Sum] = {}
+        self.disks: dict[int, list[Disk]] = {}
+        self.notes: list[tuple[str, dict[str, Any]]] = []
+        self.first = Config((0,))
+
+    def store(self, name: str) -> Store:
+        disk, witness = Disk(self.folder / name), Disk(self.folder / f"{name}-witness")
+        store = Store(disk, witness, random.SystemRandom())
+        self.disks[store.id] = [disk, witness]
+        return store
+
+    async def begin(self, *names: str) -> None:
+        stores = [self.store(name) for name in names]
+        self.first = Config(tuple(store.id for store in stores))
+        for store in stores:
+            await self.run(store)
+
+    async def run(self, store: Store, keys: Keys = KEYS) -> Host:
+        machine = self.machines[store.id] = Sum()
+        host = self.hosts[store.id] = Host(
+            "g", store, self.first, machine, lambda take: Links("g", store.id, keys, self.where.get, take),
+            lambda event, fields: self.notes.append((event, fields)), QUICK)
+        self.where[store.id] = "127.0.0.1", await host.start("127.0.0.1", 0)
+        return host
+
+    async def kill(self, number: int) -> None:
+        await self.hosts.pop(number).stop()
+        for disk in self.disks[number]:
+            disk.close()
+
+    async def leader(self) -> Host:
+        while True:
+            for host in self.hosts.values():
+                if host.copy.role is Role.LEADER and not host.copy.halted:
+                    return host
+            await asyncio.sleep(0.01)
+
+    async def add(self, number: int) -> int:
+        """One command, asked until it stands once."""
+        while True:
+            try:
+                return int(await (await self.leader()).propose(b"%d" % number))
+            except (NotLeaderError, InDoubtError):
+                await asyncio.sleep(0.02)
+
+    async def until(self, holds: Any) -> None:
+        while not holds():
+            await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        for number in list(self.hosts):
+            await self.kill(number)
+
+
+def test_what_stands_is_there_after_the_leader_is_lost_and_comes_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        group = Group(tmp_path)
+        await group.begin("a", "b", "c")
+        for number in range(1, 21):
+            assert await group.add(1) >= number
+        lost = (await group.leader()).copy.me
+        await group.kill(lost)
+        total = await group.add(100)
+        assert total >= 120
+        await (await group.leader()).read()
+        name = "abc"[group.first.voters.index(lost)]
+        back = await group.run(group.store(name))
+        assert back.copy.me == lost and back.copy.proven
+        await group.until(lambda: group.machines[lost].total == total)
+        await group.stop()
+    run(test())
+
+
+def test_an_empty_disk_joins_as_another_is_filled_and_counts(tmp_path: Path) -> None:
+    async def test() -> None:
+        group = Group(tmp_path)
+        await group.begin("a", "b", "c")
+        total = 0
+        for _ in range(10):
+            total = await group.add(5)
+        leading = (await group.leader()).copy.me
+        lost = next(number for number in group.first.voters if number != leading)
+        await group.kill(lost)
+        fresh = group.store("d")
+        await group.run(fresh)
+        voters = group.first.voters
+        for config in (Config(voters, (fresh.id,)), Config((*voters, fresh.id)),
+                       Config(tuple(one for one in (*voters, fresh.id) if one != lost))):
+            while not (await group.leader()).change(config):
+                await asyncio.sleep(0.02)
+        await group.until(lambda: group.machines[fresh.id].total == total)
+        await group.until(lambda: group.hosts[fresh.id].copy.config.voters == config.voters)
+        other = next(number for number in voters if number in group.hosts and group.hosts[number].copy.role
+                     is not Role.LEADER)
+        await group.kill(other)  # the new one is needed for a majority now
+        assert await group.add(1) == total + 1
+        await group.stop()
+    run(test())
+
+
+def test_a_machine_that_was_restarted_asks_first_and_counts_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        group = Group(tmp_path)
+        await group.begin("a", "b", "c")
+        await group.add(7)
+        follower = next(number for number, host in group.hosts.items() if host.copy.role is not Role.LEADER)
+        name = "abc"[group.first.voters.index(follower)]
+        await group.kill(follower)
+        (tmp_path / f"{name}-witness" / "witness.json").unlink()  # its memory is empty
+        store = group.store(name)
+        assert not store.proven
+        back = await group.run(store)
+        await group.until(lambda: back.copy.proven and store.proven)
+        await group.until(lambda: group.machines[follower].total == 7)
+        await group.stop()
+    run(test())
+
+
+def test_a_disk_that_fails_halts_its_copy_and_the_group_goes_on(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    faults = tmp_path / "faults"
+    monkeypatch.setenv(FAULTS, str(faults))
+
+    async def test() -> None:
+        group = Group(tmp_path)
+        bad = group.store("a")
+        monkeypatch.delenv(FAULTS)
+        good = [group.store("b"), group.store("c")]
+        group.first = Config((bad.id, *(store.id for store in good)))
+        for store in (bad, *good):
+            await group.run(store)
+        await group.add(1)
+        faults.write_text('{"full": 1}')
+        await group.add(2)
+        await group.until(lambda: group.hosts[bad.id].copy.halted)
+        assert await group.add(3) >= 6
+        assert any(event == "copy halted" and "No space" in fields["error"] for event, fields in group.notes)
+        await group.stop()
+    run(test())
+
+
+def test_another_key_and_another_disk_are_not_heard(tmp_path: Path) -> None:
+    async def test() -> None:
+        group = Group(tmp_path)
+        await group.begin("a", "b", "c")
+        await group.add(1)
+        leader = await group.leader()
+        strange = Links("g", 99, Keys([b"x" * 32]), group.where.get, lambda source, message: None)
+        wrong = Links("g", 99, KEYS, lambda number: group.where[leader.copy.me], lambda source, message: None)
+        from martenstep.replication.messages import TakeOver
+        strange.send(leader.copy.me, TakeOver(9))
+        wrong.send(12345, TakeOver(9))
+        await group.until(lambda: leader.links.counts["dropped_mac"] and leader.links.counts["not_for_this_disk"])
+        strange.stop()
+        wrong.stop()
+        with pytest.raises(ValueError, match="at most"):
+            await leader.propose(b"1" * 70_000)
+        follower = next(host for host in group.hosts.values() if host is not leader)
+        with pytest.raises(NotLeaderError):
+            await follower.propose(b"1")
+        with pytest.raises(NotLeaderError):
+            await follower.read()
+        await group.stop()
+    run(test())
