--- a/martenstep/members/gossip/core.py
+++ b/martenstep/members/gossip/core.py
@@ -527,8 +527,8 @@
         self.table.put(now, fact)
         self._spread.put(fact)
         if fact.present and (before is None or not before.present):
-            # At a random place of the round under way (SWIM, section 4.3).  Danger: left to the next round, one that came
-            # and died would be asked by nobody for as many periods as there are doors.
+            # At a random place of the round under way (SWIM, section 4.3).  Danger: left to the next round, one that
+            # came and died would be asked by nobody for as many periods as there are doors.
             self._round.insert(self._rng.randrange(len(self._round) + 1), fact.name)
         if fact.life and self._lives.get(fact.address, fact.life) != fact.life and (
                 before is None or before.life != fact.life):
