A copy put back within a term is filled again: its leader sent the same for ever

Traced:, leader 4 and copy 3, whose disk was put back after it had acknowledged entry 156 in the same term, answered each other at the network's speed with nothing gained. At fault: core.py, _acknowledged, which never went below what had been acknowledged. A refusal lowers that now; what stands is not touched.

--- a/martenstep/replication/core.py
+++ b/martenstep/replication/core.py
@@ -686,7 +686,9 @@
                 self._maybe_hand()
                 self._feed(now, source, beat=False)
         else:
-            peer.next = max(min(told.match + 1, self.last_index + 1), peer.match + 1, 1)
+            # Below what it acknowledged in this term: its disk was put back.  What stands stays; it is filled again.
+            peer.match = min(peer.match, told.match)
+            peer.next = min(told.match, self.last_index) + 1
             self._feed(now, source, beat=False)
 
     # Snapshots.
