A reset is no end: half an answer without a length is not served as a whole one

Checked: the logs show no fault and no broken answer, the verdicts count the attempts as "ok". Lines at fault: WatchedReader._end told its sink of a FIN and of a reset by the same empty bytes, and AnswerReader takes an end as the end of an unbounded body. Ruled out: an answer with a length or chunks, whose bodies refuse to end early. Change: Upstream.feed raises Fault where the connection ended with an exception; the driver and the checks of authentication both read through it, and the attempt ends as a reset that may have run.

--- a/martenstep/door/checks.py
+++ b/martenstep/door/checks.py
@@ -115,7 +115,7 @@
         if flying.upstream is not upstream:
             return
         try:
-            upstream.wire.feed(data)
+            upstream.feed(data)
             while flying.upstream is upstream:
                 event = upstream.wire.next()
                 if event is None:
--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -759,7 +759,7 @@
                 self._promised(flight, flight.promised)
             return
         try:
-            upstream.wire.feed(data)
+            upstream.feed(data)
             self._read(flight, upstream)
         except Fault:
             if flight.upstream is upstream:
--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -17,6 +17,7 @@
 from typing import Any, cast
 
 from martenstep.door.wire.asking import Asking
+from martenstep.door.wire.heads import Fault
 
 Lost = Callable[[], None]
 Refused = Callable[[str, str], None]  # whose handshake, and why
@@ -165,6 +166,13 @@
         # be taken for the next one's.
         return not self._poll.poll(0)
 
+    def feed(self, data: bytes) -> None:
+        """Bytes of an answer, none at the connection's end; raises Fault."""
+        if not data and self.reader.exception() is not None:
+            # A reset is no end: what came so far of an answer without a length would pass for all of it.
+            raise Fault(502, "reset")
+        self.wire.feed(data)
+
     def deliver_within(self, ms: float | None) -> None:
         """The kernel breaks the connection where what is written next is not acknowledged in so many ms (RFC 5482);
         none: as usual."""
