Discovery: no answer ends the watch, half an answer is given up, one that goes back is refused

Read line by line; each fault below was shown by a test that fails with the mend taken back on a copy (OverflowError, a task that ends, half an answer, byte by byte, a revision that goes back, gone and back in one answer). Lines at fault: `_run` expected four exceptions, so that an OverflowError (`"rev": 1e999`), a RecursionError or whatever the module raised ended the task, and the list stood still for ever; `_server` numbered backends before the list was known to be readable; `told` took a text for `all`, infinite start times and sizes, host names (a look-up holds the loop's threads), an older revision on a watch; a uid that was gone and back in one answer kept its number and lost its address. Change: any exception ends the connection, is told of and begins anew with the whole list. Nothing of an unreadable list is taken in. An answer has LATE_MS between two of its bytes and WHOLE_MS in all, in place of one bound: a long list that comes steadily is taken. Ruled out: the old agent's last answer after a move; the task is cancelled before it takes it in (tested, with the move forced between).

--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -9,7 +9,9 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Callable
+from ipaddress import ip_address
 from typing import Any
 
 from martenstep.backoff import Backoff
@@ -24,7 +26,8 @@
 # The agent is on this machine and answers at once.  What it wrote to a connection that broke counts as told, and a
 # drain binds within a second of that: a new connection that is silent as well must be given up well before.
 WAIT_MS = 1500  # a watch is held for this at most: so long a list can be stale where its connection falls silent
-LATE_MS = 250.0  # an answer that is so late is not coming
+LATE_MS = 250.0  # an answer that is so late, or stands still for so long, is not coming
+WHOLE_MS = 1500.0  # and one that comes byte by byte must be whole within this of the time it was due
 CONNECT_S = 0.2
 AGAIN_LEAST_MS, AGAIN_MOST_MS = 10.0, 250.0  # between calls that fail
 READ_BYTES = 65_536
@@ -53,43 +56,56 @@
         """Take in an answer; gives what it tells, none where nothing changed.  Raises DiscoveryError."""
         try:
             told = json.loads(body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise DiscoveryError(f"not JSON: {error}") from None
         return self.told(told)
 
     def told(self, told: Any, scope: Scope | None = None) -> Listed | None:
-        """Take in a list that is read already; `scope` in place of its own, and then no watch goes on from it."""
+        """Take in a list that is read already; `scope` in place of its own, and then no watch goes on from it.
+        Nothing of one that cannot be read to its end is taken in."""
+        numbers, last = dict(self._numbers), self._last
         try:
-            rev, whole = int(told["rev"]), bool(told["all"])
-            read = [self._server(entry) for entry in told["targets"]]
-        except (ValueError, KeyError, TypeError, ConfigError) as error:
+            rev, whole = int(told["rev"]), told["all"]
+            if not isinstance(whole, bool):
+                raise TypeError(f"all is {whole!r}")
+            addresses = {} if whole else dict(self.addresses)
+            servers: list[Server] = []
+            for entry in told["targets"]:
+                uid = entry["uid"]
+                if not isinstance(uid, str):
+                    raise TypeError(f"uid is {uid!r}")
+                if uid not in numbers:
+                    last += 1
+                    numbers[uid] = last
+                server, address = self._server(entry, numbers[uid])
+                servers.append(server)
+                addresses[server.id] = address
+                if server.state is State.GONE:  # one that comes back, in this answer too, is another
+                    del numbers[uid], addresses[server.id]
+        except (ValueError, KeyError, TypeError, OverflowError, ConfigError) as error:
             raise DiscoveryError(f"not a list of backends: {error!r}") from None
         if self.rev is None and not whole:
             raise DiscoveryError("changes without the list that they apply to")
         if scope is None:
+            if self.rev is not None and not whole and rev < self.rev:
+                raise DiscoveryError(f"a watch that goes back, from {self.rev} to {rev}")
             self.rev = rev
-        if not whole and not read:
+        if not whole and not servers:
             return None
-        servers, addresses = tuple(server for server, _ in read), {server.id: at for server, at in read}
-        for key in [key for key in self.addresses if key not in addresses] if whole else []:
-            del self.addresses[key]
-        self.addresses.update(addresses)
-        for server in servers:
-            if server.state is State.GONE:
-                self.addresses.pop(server.id, None)
-        self._numbers = {uid: number for uid, number in self._numbers.items() if number in self.addresses}
-        return Listed(scope or (Scope.FULL if whole else Scope.CHANGES), servers, addresses)
-
-    def _server(self, entry: dict[str, Any]) -> tuple[Server, tuple[str, int]]:
-        uid = str(entry["uid"])
-        number = self._numbers.get(uid)
-        if number is None:
-            self._last += 1
-            number = self._numbers[uid] = self._last
+        self.addresses, self._last = addresses, last
+        self._numbers = {uid: number for uid, number in numbers.items() if number in addresses}
+        told_of = {server.id: addresses[server.id] for server in servers if server.id in addresses}
+        return Listed(scope or (Scope.FULL if whole else Scope.CHANGES), tuple(servers), told_of)
+
+    @staticmethod
+    def _server(entry: dict[str, Any], number: int) -> tuple[Server, tuple[str, int]]:
+        size, started = float(entry.get("capacity_hint", 1.0)), float(entry.get("boot_ms", 0.0))
+        if not (0 <= size < math.inf and 0 <= started < math.inf):
+            raise ValueError("capacity_hint or boot_ms is no figure")
         server = Server(number, str(entry.get("az", "")), str(entry.get("model", "")), int(entry.get("pod_group", 0)),
-                        STATES[entry["state"]], float(entry.get("capacity_hint", 1.0)),
-                        float(entry.get("boot_ms", 0.0)))
-        return server, address_of(entry.get("endpoint"), "endpoint")
+                        STATES[entry["state"]], size, started)
+        host, port = address_of(entry.get("endpoint"), "endpoint")
+        return server, (str(ip_address(host)), port)  # there is no DNS: a name would be looked up for seconds
 
 
 class Discovery:
@@ -125,8 +141,11 @@
         while True:
             try:
                 await self._follow(backoff)
-            except (OSError, TimeoutError, DiscoveryError, Fault) as error:
-                if not self._lost:
+            except Exception as error:  # whatever it is: a list that is followed no more stays as it was for ever
+                expected = isinstance(error, OSError | DiscoveryError | Fault)
+                if not expected:
+                    self._note("fault", {"where": "discovery", "error": repr(error)})
+                elif not self._lost:
                     self._note("discovery lost", {"error": repr(error)})
                 self._lost = True
                 self._follower.rev = None  # a watch that broke is begun anew with the whole list
@@ -143,8 +162,8 @@
                 target = self._follower.target().encode()
                 writer.write(wire.head(b"GET", target, [(b"host", host)]) + wire.end())
                 wait_ms = LATE_MS if self._follower.rev is None else WAIT_MS + LATE_MS
-                async with asyncio.timeout(wait_ms / 1000):
-                    body = await self._answer(reader, wire)
+                async with asyncio.timeout((wait_ms + WHOLE_MS) / 1000):
+                    body = await self._answer(reader, wire, wait_ms)
                 listed = self._follower.take(body)
                 backoff.succeeded()
                 if self._lost:
@@ -158,12 +177,16 @@
             writer.close()
 
     @staticmethod
-    async def _answer(reader: asyncio.StreamReader, wire: Asking) -> bytes:
+    async def _answer(reader: asyncio.StreamReader, wire: Asking, wait_ms: float) -> bytes:
+        """One answer, whose first byte comes within `wait_ms` and which never stands still for longer than
+        LATE_MS; raises TimeoutError."""
         body = bytearray()
         while True:
             event = wire.next()
             if event is None:
-                wire.feed(await reader.read(READ_BYTES))
+                async with asyncio.timeout(wait_ms / 1000):
+                    wire.feed(await reader.read(READ_BYTES))
+                wait_ms = LATE_MS
             elif isinstance(event, AnswerHead):
                 if event.status != 200:
                     raise DiscoveryError(f"answered {event.status}")
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
@@ -138,3 +139,184 @@
         made.stop()
         back.stop()
     run(test())
+
+
+@pytest.mark.parametrize("body", [
+    '{"rev": 1e999, "all": true, "targets": []}', '{"rev": 1, "all": "false", "targets": []}',
+    '{"rev": 1, "all": true, "targets": ["s-a"]}', '{"rev": 1, "all": true, "targets": [["uid"]]}',
+    '{"rev": 1, "all": true, "targets": [null]}', '{"rev": 1, "all": true, "targets": {"uid": 1}}',
+    "[" * 100_000, json.dumps({"rev": 1, "all": True, "targets": [target("s-b"), target("s-c", state=["ready"])]}),
+    json.dumps({"rev": 1, "all": True, "targets": [target("s-b"), target("s-c", boot_ms=float("inf"))]}),
+    json.dumps({"rev": 1, "all": True, "targets": [target("s-b"), target("s-c", capacity_hint=float("nan"))]}),
+    json.dumps({"rev": 1, "all": True, "targets": [target("s-b"), target("s-c", pod_group=1e999)]}),
+    json.dumps({"rev": 1, "all": True, "targets": [target("s-b"), target("s-c", endpoint="host.svc:80")]}),
+    json.dumps({"rev": 1, "all": True, "targets": [target("s-b"), {**target("s-c"), "uid": 7}]}),
+])
+def test_of_what_cannot_be_read_nothing_is_taken_in(body: str) -> None:
+    follower = Follower()
+    follower.take(told(4, True, target("s-a", 11)))
+    with pytest.raises(DiscoveryError):
+        follower.take(body.encode())
+    assert follower.addresses == {1: ("127.0.0.1", 11)} and follower.rev == 4
+    listed = follower.take(told(5, False, target("s-n", 12)))
+    assert listed is not None and listed.servers[0].id == 2, "no number was spent on it"
+
+
+def test_a_watch_that_goes_back_is_begun_anew() -> None:
+    follower = Follower()
+    follower.take(told(4, True, target("s-a", state="draining")))
+    with pytest.raises(DiscoveryError, match="goes back"):
+        follower.take(told(3, False, target("s-a")))
+    assert follower.rev == 4
+    assert follower.take(told(2, True, target("s-a"))) is not None, "the whole list is what discovery has now"
+
+
+def test_who_goes_and_comes_back_in_one_answer_is_another() -> None:
+    follower = Follower()
+    follower.take(told(1, True, target("s-a", 11)))
+    listed = follower.take(told(2, False, target("s-a", 11, state="gone"), target("s-a", 12, boot_ms=5)))
+    assert listed is not None
+    assert [(server.id, server.state) for server in listed.servers] == [(1, State.GONE), (2, State.UP)]
+    assert listed.addresses == follower.addresses == {2: ("127.0.0.1", 12)}
+
+
+def test_the_known_list_and_discoverys_name_a_backend_alike() -> None:
+    """By two followers number 1 was one backend at first, and another once discovery's list came."""
+    follower = Follower()
+    follower.told(json.loads(told(9, True, target("s-a", 11), target("s-b", 12))), Scope.WARM_COPY)
+    listed = follower.take(told(10, True, target("s-b", 12), target("s-c", 13)))
+    assert listed is not None and listed.scope is Scope.FULL
+    assert listed.addresses == {2: ("127.0.0.1", 12), 3: ("127.0.0.1", 13)}
+
+
+async def _followed(script: Callable[[Peer], Awaitable[None]], wanted: int,
+                    tell: Callable[[Listed], None] | None = None) -> tuple[list[Listed], list[str]]:
+    """What is told of an agent until so many lists have come, and what is noted."""
+    back = Back(script)
+    lists: list[Listed] = []
+    notes: list[str] = []
+
+    def take(listed: Listed) -> None:
+        lists.append(listed)
+        if tell is not None:
+            tell(listed)
+
+    made = Discovery(("127.0.0.1", await back.start()), Follower(), take, lambda event, fields: notes.append(event))
+    made.start()
+    while len(lists) < wanted:
+        await asyncio.sleep(0.001)
+    made.stop()
+    back.stop()
+    return lists, notes
+
+
+@pytest.mark.parametrize("half", [b"", b"HTTP/1.1 200 OK\r\nContent-Le", answer(told(9, True, target("s-z")))[:-9]])
+def test_half_an_answer_and_then_silence_is_given_up(monkeypatch: pytest.MonkeyPatch, half: bytes) -> None:
+    """The rest never comes; neither does a watch that has waited forget that its own time is over."""
+    monkeypatch.setattr(discovery, "WAIT_MS", 10)
+    monkeypatch.setattr(discovery, "LATE_MS", 20.0)
+    turns: list[str] = []
+
+    async def agent(peer: Peer) -> None:
+        turns.append((await peer.head()).split()[1])
+        if len(turns) == 1:
+            await peer.write(half)
+            await peer.rest()
+        await peer.write(answer(told(1, True, target("s-a"))))
+        turns.append((await peer.head()).split()[1])
+        await peer.write(half)
+        await peer.rest()
+
+    async def test() -> None:
+        lists, notes = await _followed(agent, 2)
+        assert [[server.id for server in listed.servers] for listed in lists] == [[1], [1]]
+        assert turns[:2] == ["/catalog/members"] * 2 and "after=1" in turns[2] and turns[3] == "/catalog/members"
+        assert notes.count("discovery lost") == 2
+    run(test())
+
+
+def test_an_answer_that_comes_byte_by_byte_is_bounded_in_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No two bytes stand apart for long enough to tell of silence."""
+    monkeypatch.setattr(discovery, "LATE_MS", 60_000.0)
+    monkeypatch.setattr(discovery, "WHOLE_MS", -59_900.0)
+    turns: list[str] = []
+
+    async def agent(peer: Peer) -> None:
+        turns.append((await peer.head()).split()[1])
+        body = answer(told(1, True, target("s-a")))
+        if len(turns) == 1:
+            for place in range(len(body) - 1):
+                await peer.write(body[place:place + 1])
+                await asyncio.sleep(0.005)
+        await peer.write(body)
+        await peer.rest()
+
+    async def test() -> None:
+        lists, _ = await _followed(agent, 1)
+        assert len(turns) == 2 and len(lists) == 1
+    run(test())
+
+
+def test_what_nobody_expected_does_not_end_the_watch() -> None:
+    """The task ended, and the list stayed as it was for ever."""
+    async def agent(peer: Peer) -> None:
+        await peer.head()
+        await peer.write(answer(told(1, True, target("s-a"))))
+        await peer.rest()
+
+    def fails(listed: Listed) -> None:
+        if not failed:
+            failed.append(1)
+            raise AttributeError("nobody expected it")
+
+    failed: list[int] = []
+
+    async def test() -> None:
+        lists, notes = await _followed(agent, 2, fails)
+        assert lists[1].scope is Scope.FULL, "the whole list, since the first may not have been taken in"
+        assert notes == ["fault", "discovery back"]
+    run(test())
+
+
+def test_a_move_forgets_what_the_old_agent_was_about_to_tell(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The old answer has come and its task is to run in the next turn of the loop."""
+    async def test() -> None:
+        gate = asyncio.Event()
+
+        async def old(peer: Peer) -> None:
+            await peer.head()
+            await gate.wait()
+            await peer.write(answer(told(7, True, target("s-old"))))
+            await peer.rest()
+
+        async def new(peer: Peer) -> None:
+            await peer.head()
+            await peer.write(answer(told(1, True, target("s-new"))))
+            await peer.rest()
+
+        first, second = Back(old), Back(new)
+        lists: list[Listed] = []
+        follower = Follower()
+        made = Discovery(("127.0.0.1", await first.start()), follower, lists.append, lambda event, fields: None)
+        elsewhere = ("127.0.0.1", await second.start())
+        real = made._answer
+
+        async def crossed(*args: Any) -> bytes:
+            body = await real(*args)
+            if b"s-old" in body:
+                made.move(elsewhere)  # as the answer is whole and is not taken in yet
+                await asyncio.sleep(0)
+            return body
+
+        monkeypatch.setattr(made, "_answer", crossed)
+        made.start()
+        while not first.connections:
+            await asyncio.sleep(0.001)
+        gate.set()
+        while not lists:
+            await asyncio.sleep(0.001)
+        assert list(follower._numbers) == ["s-new"] and len(lists) == 1
+        made.stop()
+        first.stop()
+        second.stop()
+    run(test())
