Crossings at the driver: closes, clients that go, late second answers, descriptors, the end

`Client.retire` closes only where nothing has come; half a request is waited for. - A close over unread bytes resets and eats the answer: only bytes that had been parsed were looked for. Every close after an answer ends the door's half and reads on (`_linger`); also for who finds a full house, eight at once. - A client's end that the loop has not heard: before each attempt, and after each dial, the kernel is asked (POLLRDHUP). Behind 128 KB reading stood still and neither FIN nor RST was heard: while a request is out what is more than a buffer holds is thrown away. - An attempt not written yet was kept for a client that had left where the settings forbid calling off: it is given up. - A second answer some ms late is the next request's if the connection is reused at once: `rest_ms`. Resting connections make room. - A given-up attempt's transport closes a turn later than the next attempt is written: sending ends at once. - A connection answered before its request was all sent is not reused. A client that takes nothing is cut off. - `engine.stop` told of time-outs, and the module answered with further attempts: now a refusal where nothing ran, else a failure. - One turn of the loop accepted the whole queue: four now, `listen` keeps the queue. A socket of our own making has protocol 0, and asyncio sets TCP_NODELAY only by that number: a test caught it, it is set outright. - Standing tasks are told of and begun anew; a dial that fails in any way ends its attempt. A test was wrong: a request read as the door told its client to go was to reach no server. It is answered now where it was read before the close, and reaches nobody behind it: both are tested.

--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -28,6 +29,8 @@
 from martenstep.door.wire.readers import Data, End
 from martenstep.door.wire.writing import UnwritableError
 from martenstep.door.wires import (
+    BROKEN,
+    GONE,
     READ_BYTES,
     AcceptingProtocol,
     Pool,
@@ -36,7 +39,9 @@
     WatchedProtocol,
     WatchedReader,
     now_ms,
+    ready_for,
 )
+from martenstep.tasks import standing
 
 if TYPE_CHECKING:  # loaded where the settings name them
     from martenstep.config.tls import ClientContext, ServerContext
@@ -46,10 +51,13 @@
 YOUNG_MS = 300.0  # a new connection is not closed for room: its first request may be on its way, and would be lost
 SWEEP_MS = 250.0  # how often idle and stalled connections are looked for
 BACKLOG = 1024  # connections that wait to be accepted
+ACCEPT_TURN = 4  # accepted in one turn of the loop: up to five go by before the first is counted, or is closed
 PASS_BYTES = 65536  # of an answer that a slow client has not taken yet, before its server is read no further
 LINGER_BYTES = 262144  # of an unread body that are read and thrown away, so that a reset does not eat the answer
 LINGER_MS = 1000.0
-LAST_MS = 300.0  # of a stop: a connection that asks in this time is told to close; who does not ask is idle
+END_MS = 150.0  # at its end: clients that were told to go close their connections in this time
+TURNED_AWAY_MS = 300.0  # whoever finds a full house has this long to take the answer, ...
+TURNED_AWAY = 8  # ... and so many at once: each holds a descriptor beyond the bound
 WEIGHED = (429, 502, 503, 504)  # answers of the door's own to requests that it took; others are faults of the client's
 
 
@@ -138,6 +146,7 @@
         self.partial = False  # a head has begun to come
         self.closing = False
         self.known = False  # a request of its got past the door's own checks
+        self.lingering = False  # the door has ended its half: what still comes is thrown away
         peer = writer.get_extra_info("peername")
         self.peer = str(peer[0]) if peer else ""
         protocol.on_lost = self._lost
@@ -150,6 +159,30 @@
             self._driver.act(ev.ClientLeft(self.flight.ticket))
             self.flight.finish()
 
+    def left(self) -> bool:
+        """Whether the client has gone, by the kernel's word: of one that sent so much that reading stands still the
+        loop never hears, and of any other a busy loop hears late.  Its request ends then."""
+        writer = self.writer
+        events = GONE if self._driver.listener.leave_on_half_close else BROKEN
+        gone = writer.transport.is_closing() or ready_for(writer, events)
+        if gone:
+            self._lost()
+        return gone
+
+    @property
+    def asking(self) -> bool:
+        """Whether bytes have come that are, or may become, a request which has no answer yet: a door that has read
+        them and closes has lost it."""
+        return not self.closing and (self.flight is not None or self.partial or bool(self.reader.unread))
+
+    def retire(self) -> bool:
+        """End a connection between two requests; False where one may have begun."""
+        if self.closing or self.asking or ready_for(self.writer, select.POLLIN):
+            return False
+        self.closing = True
+        self.writer.close()
+        return True
+
     async def run(self) -> None:
         """Serve requests until the connection ends."""
         try:
@@ -167,6 +200,14 @@
             pass
         finally:
             self.writer.close()
+            if self.writer.transport.get_write_buffer_size():  # whoever takes nothing would hold it for ever
+                self._driver.loop.call_later(LINGER_MS / 1000, self.writer.transport.abort)
+
+    async def turn_away(self) -> None:
+        """Answer where no place is: the request, if one comes, must not turn the close into a reset."""
+        self.plain(503, "full house")
+        await self._linger(TURNED_AWAY_MS)
+        self.writer.close()
 
     async def _event(self) -> Any:
         """The next event of the client's bytes."""
@@ -231,6 +272,8 @@
             self.wire.next()  # the end of a message without a body
         if body is not None and driver.listener.whole_body and not await self._all_of(body):
             return
+        if body is None or body.complete:
+            self.reader.spill()
         ticket = driver.ticket()
         flight = self.flight = Flight(ticket, self, body, driver.loop.create_future())
         driver.flights[ticket] = flight
@@ -241,13 +284,25 @@
                 flight.pump.cancel()
                 with suppress(asyncio.CancelledError):
                     await flight.pump
-            if not self.writer.transport.is_closing():
-                await self.writer.drain()
+            await self._taken()
         finally:
-            self.flight = None
+            self.flight, self.reader.spills = None, False
             if flight.task is None and flight.upstream is None:
                 driver.flights.pop(ticket, None)
 
+    async def _taken(self) -> None:
+        """Until the client has taken its answer, or has stopped taking it: then it is cut off, since its connection
+        would hold a place, and the end of the door, for ever."""
+        transport = self.writer.transport
+        while not transport.is_closing():
+            left = transport.get_write_buffer_size()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self._driver.upstream.answer_idle_ms / 1000):
+                    await self.writer.drain()
+                return
+            if transport.get_write_buffer_size() >= left:
+                self.abort()
+
     async def _all_of(self, body: Body) -> bool:
         """Read a body to its end before anybody is told of its request; False where it grew too long.  The sweep
         minds how long it takes."""
@@ -279,24 +334,23 @@
 
     async def _next(self) -> bool:
         """Whether another request can follow on this connection."""
-        if self.closing or self._driver.stopping or self._driver.leaving:
-            return False
-        if self.wire.again():
+        going = self.closing or self._driver.stopping or self._driver.leaving or self.reader.spilt
+        if not going and self.wire.again():
             return True
-        if not self.wire.read or self.wire.waiting:  # what is unread would turn the close into a reset
-            await self._linger()
+        await self._linger()
         return False
 
-    async def _linger(self) -> None:
-        """Read on for a while what the client still writes: closing at once would reset the connection, and the
-        answer with it."""
-        if self.writer.transport.is_closing():
+    async def _linger(self, within_ms: float = LINGER_MS) -> None:
+        """End the door's half, and read on for a while what the client still writes: closing over what is unread, or
+        on its way, would reset the connection, and the answer with it."""
+        if self.lingering or self.writer.transport.is_closing():
             return
+        self.closing = self.lingering = True
         with suppress(OSError, RuntimeError):
             self.writer.write_eof()
         read = 0
         with suppress(TimeoutError, OSError):
-            async with asyncio.timeout(LINGER_MS / 1000):
+            async with asyncio.timeout(within_ms / 1000):
                 while read < LINGER_BYTES:
                     data = await self.reader.read(READ_BYTES)
                     if not data:
@@ -362,6 +416,7 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
         self._resuming: set[asyncio.Task[None]] = set()
+        self._turning_away: set[asyncio.Task[None]] = set()
         self._checks: Checks | None = None
         self._carry: dict[type, Callable[[Any], None]] = {
             ev.Open: self._open, ev.Abandon: self._abandon, ev.Pass: self._pass, ev.Reply: self._reply,
@@ -389,13 +444,21 @@
                 return made
             return SecuringProtocol(made, self.tls.context, self.listener.head_ms / 1000, self._insecure)
 
-        if sock is not None:
-            self._server = await self.loop.create_server(factory, sock=sock, backlog=BACKLOG)
-        else:
-            self._server = await self.loop.create_server(factory, self.listener.host, self.listener.port,
-                                                         backlog=BACKLOG, reuse_port=reuse_port or None)
-        self._sweeper = asyncio.create_task(self._sweep())
-        return int(self._server.sockets[0].getsockname()[1])
+        if sock is None:
+            family = socket.AF_INET6 if ":" in self.listener.host else socket.AF_INET
+            sock = socket.create_server((self.listener.host, self.listener.port), family=family,
+                                        reuse_port=reuse_port, backlog=BACKLOG)
+        # The loop takes `backlog` for the queue and for what it accepts in one turn.  A turn that accepts the whole
+        # queue takes every descriptor before the first connection is counted: dials fail then, and the loop accepts
+        # nobody for a second.
+        self._server = await self.loop.create_server(factory, sock=sock, backlog=ACCEPT_TURN)
+        sock.listen(BACKLOG)
+        self._sweeper = standing(self._sweep, self.failed)
+        return int(sock.getsockname()[1])
+
+    def failed(self, where: str, error: BaseException) -> None:
+        """A standing task ended by what nobody expected, and is begun anew."""
+        self._note("fault", {"where": where, "error": repr(error)})
 
     def _insecure(self, peer: str, reason: str) -> None:
         self.counts["handshakes_refused"] += 1
@@ -405,7 +468,7 @@
         """Accept no more, answer what is held, leave in a bounded time; True where all was answered by itself.
 
         Before that it serves on, for those whose clients need time to notice: it accepts for `leave_ms`, serves the
-        connections that stand for `stay_ms` in all and `LAST_MS` more, and ends each with an answer."""
+        connections that stand for `stay_ms` in all, and ends each with an answer."""
         begun = now_ms()
         self.leaving = True
         if leave_ms:
@@ -414,24 +477,21 @@
             self._server.close()
         if stay_ms:
             await asyncio.sleep(max(begun + stay_ms - now_ms(), 0.0) / 1000)
-        if leave_ms or stay_ms:
-            await asyncio.sleep(LAST_MS / 1000)
         self.stopping = True
-        for client in list(self.clients):
-            if client.flight is None:
-                client.closing = True
-                client.writer.close()
         until = now_ms() + within_ms
-        for client in list(self.clients):
-            if client.flight is None:
-                client.closing = True
-                client.writer.close()
-        while self.engine.open and now_ms() < until:
+        while True:
+            for client in self.clients:
+                client.retire()
+            if now_ms() >= until or not (self.engine.open or any(client.asking for client in self.clients)):
+                break
             await asyncio.sleep(0.01)
         clean = not self.engine.open
         self._run(self.engine.stop(now_ms()))
-        for _ in range(5):  # the last answers are written, and their connections closed
+        until = now_ms() + END_MS
+        while True:  # the last answers are written, and taken: their clients close
             await asyncio.sleep(0.01)
+            if not self.clients or now_ms() >= until:
+                break
         if self._sweeper is not None:
             self._sweeper.cancel()
         for client in list(self.clients):
@@ -457,8 +517,13 @@
         full = len(self.clients) >= self.listener.max_connections
         if self.stopping or (full and not self._make_room()):
             self.counts["connections_turned_away"] += 1
-            client.plain(503, "full house")
-            writer.close()
+            if len(self._turning_away) >= TURNED_AWAY:
+                client.plain(503, "full house")
+                writer.close()
+                return
+            away = self.loop.create_task(client.turn_away())
+            self._turning_away.add(away)
+            away.add_done_callback(self._turning_away.discard)
             return
         self.clients.add(client)
         self.strangers[client] = None
@@ -470,16 +535,17 @@
         has been idle for longest.  Whoever opens hundreds, and says nothing or asks once and stays, must not keep out
         those who ask.  False where a request is open on every one."""
         young = now_ms() - YOUNG_MS
-        longest = next((one for one in self.strangers if one.flight is None and one.since < young), None)
-        if longest is None:
-            longest = next(iter(self.idle), None)
-        if longest is None:
-            return False
-        self.counts["connections_closed_for_room"] += 1
-        self._forget(longest)
-        longest.closing = True
-        longest.writer.close()
-        return True
+        for one in [*self.strangers, *self.idle]:
+            if one in self.strangers and (one.flight is not None or one.since >= young):
+                continue
+            if not one.lingering and (one.reader.unread or ready_for(one.writer, select.POLLIN)):
+                continue  # a request of which it would be said that the door has lost it
+            one.closing = True  # it has its answer, says nothing, or has been at half a request all this time
+            one.writer.close()
+            self.counts["connections_closed_for_room"] += 1
+            self._forget(one)
+            return True
+        return False
 
     def _forget(self, client: Client) -> None:
         self.clients.discard(client)
@@ -512,8 +578,7 @@
                     client.plain(408, "head too slow")
                     client.writer.close()
                 elif not client.partial and now - client.since > self.listener.idle_ms:
-                    client.closing = True
-                    client.writer.close()
+                    client.retire()
             for flight in list(self.flights.values()):
                 if flight.passing and now - flight.progress > self.upstream.answer_idle_ms:
                     self._failed(flight, Ending.STALLED)
@@ -638,6 +703,8 @@
         flight = self.flights.get(action.ticket)
         if flight is None:
             return
+        if flight.client.left():  # this attempt ends with it, unwritten
+            return
         self.counts["attempts"] += 1
         flight.number, flight.held, flight.held_bytes, flight.answer_bytes = action.attempt, [], 0, 0
         upstream = self.pool.take(action.address)
@@ -674,7 +741,9 @@
         """Make a connection for an attempt.  Cancelled when it is given up."""
         try:
             upstream = await self.pool.dial(action.address)
-        except OSError:
+        except Exception as error:
+            if not isinstance(error, OSError):  # an address that no socket takes: an attempt that failed all the same
+                self.failed("dial", error)
             if flight.task is asyncio.current_task():
                 flight.task = None
                 self.act(ev.AttemptEnded(flight.ticket, action.attempt, Ending.NOT_CONNECTED))
@@ -683,6 +752,9 @@
             self.pool.drop(upstream)
             return
         flight.task = None
+        if flight.client.left():  # while it was being made; nothing was written to it
+            self.pool.put(upstream)
+            return
         self._begin(flight, action, upstream)
 
     def _begin(self, flight: Flight, action: ev.Open, upstream: Upstream) -> None:
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -188,12 +188,26 @@
         return self._wording.own(reason, "", None)
 
     def stop(self, now: float) -> list[ev.Action]:
-        """The daemon's time is over: every request that is still held gets its answer now."""
+        """The daemon's time is over: every request that is still held gets its answer now, and no further attempt."""
         self._now = max(now, self._now)
-        for ticket in list(self._exchanges):
-            self._deadline(ticket)
-        out, self._out = self._out, []
-        return out
+        for exchange in list(self._exchanges.values()):
+            attempt = exchange.attempt
+            if exchange.settled or (attempt and attempt.begun):
+                self._deadline(exchange.ticket)
+                continue
+            if exchange.told:
+                self._tell(api.Left(exchange.rid))  # else the module would answer its outcome with another attempt
+            out = attempt is not None and attempt.open
+            ran = exchange.risk_at is not None or (out and attempt is not None and attempt.written)
+            harmless = not ran or exchange.routed.cls.effect is api.Effect.SAFE
+            if harmless:
+                self._answer(exchange, UNAVAILABLE, "stopping", exchange.routed.cls.aim_ms * 0.1)
+            else:
+                self._answer(exchange, GATEWAY_TIMEOUT, "timed out", None)
+            if attempt is not None and out:
+                self._stop(exchange, attempt, Verdict.TIMEOUT)
+        out_now, self._out = self._out, []
+        return out_now
 
     # The module -----------------------------------------------------------------------------------------
 
@@ -584,7 +598,8 @@
         if exchange.told:
             self._tell(api.Left(exchange.rid))
         attempt = exchange.attempt
-        if attempt and attempt.open and (self._cancel or attempt.begun):
+        # What is not written yet is no work of the server's that would be called off: it is never begun for nobody.
+        if attempt and attempt.open and (self._cancel or attempt.begun or not attempt.written):
             self._stop(exchange, attempt, Verdict.CANCELLED)
         self._forget(exchange)
 
--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -25,6 +25,8 @@
 Accepted = Callable[["WatchedReader", asyncio.StreamWriter, "WatchedProtocol"], None]
 
 
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the other side has closed its half, or all
+BROKEN = select.POLLHUP | select.POLLERR
 DISCARD = struct.pack("ii", 1, 0)  # SO_LINGER for no time: a close that resets
 READ_BYTES = 65536  # of one read, and what a stream buffers before it stops reading
 
@@ -47,6 +49,13 @@
         self.touched = False  # bytes or an end have come
         self.ended = False
         self.sink: Sink | None = None  # takes the bytes in place of the buffer; none at the end
+        self.spills = False
+        self.spilt = False  # something was thrown away: nothing can follow on this connection
+
+    @property
+    def unread(self) -> int:
+        """Bytes that the loop has read and nobody has taken yet."""
+        return len(self._buffer)  # type: ignore[attr-defined]  # the standard library tells it nowhere
 
     def feed_data(self, data: Any) -> None:
         """Bytes from the transport."""
@@ -55,6 +64,19 @@
             self.sink(bytes(data))
         else:
             super().feed_data(data)
+            if self.spills:
+                self.spill()
+
+    def spill(self) -> None:
+        """From now on, until `spills` is taken back, what is more than the buffer holds is thrown away.
+
+        While a client's request is with the door nobody takes what stands behind it; where reading stood still for
+        that, the client's going would not be heard, and attempts would be begun for nobody."""
+        self.spills = True
+        if self.unread > READ_BYTES:
+            self.spilt = True
+            del self._buffer[READ_BYTES:]  # type: ignore[attr-defined]
+            self._maybe_resume_transport()  # type: ignore[attr-defined]
 
     def feed_eof(self) -> None:
         """The other side has closed its half."""
@@ -110,6 +132,7 @@
         super().connection_made(transport)
         # Not every loop's transports are asyncio's by class: uvloop's only behave alike.
         made = cast(asyncio.WriteTransport, transport)
+        undelayed(made)
         writer = asyncio.StreamWriter(made, self, self._watched, asyncio.get_running_loop())
         self._accepted(self._watched, writer, self)
 
@@ -143,6 +166,23 @@
         self._made.connection_made(secured)
 
 
+def undelayed(transport: asyncio.BaseTransport) -> None:
+    """Small writes go out at once: what the kernel held back would be lost with a close that resets.  The loop does so
+    only for sockets that were made with the protocol's number, which accepted ones have from their listener."""
+    with suppress(OSError):  # it has ended already
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def ready_for(writer: asyncio.StreamWriter, events: int) -> bool:
+    """Whether the kernel tells one of `events` (select.POLL...) of a connection now, before the loop has looked."""
+    number = writer.get_extra_info("socket").fileno()
+    if number < 0:
+        return True
+    poll = select.poll()
+    poll.register(number, events)
+    return any(told & events for _, told in poll.poll(0))
+
+
 class Upstream:
     """One connection to a server."""
 
@@ -184,8 +224,15 @@
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(int(ms), 1) if ms is not None else 0)
 
     def abort(self) -> None:
-        """Close at once, with a reset (Pool.dial): what is still buffered, here or in the kernel, reaches nobody."""
-        self.writer.transport.abort()
+        """Close at once, with a reset (Pool.dial): what is still buffered, here or in the kernel, reaches nobody.
+
+        The transport closes in the next turn of the loop.  Sending is ended here and now: the request's next attempt
+        may be written within this turn, and two would be out."""
+        transport = self.writer.transport
+        if not transport.is_closing() and transport.can_write_eof():
+            with suppress(OSError):  # the other side was sooner
+                transport.write_eof()
+        transport.abort()
 
 
 class Pool:
@@ -196,6 +243,9 @@
         """`bound` connections to one address, `bound_of_all` together (0: no such bound)."""
         self._bound, self._idle_ms, self._refused = bound, idle_ms, refused
         self._bound_of_all = bound_of_all
+        # A connection is not reused so soon after its answer: a second one may come some ms behind, and would be
+        # taken for the next request's.
+        self.rest_ms = 0.0
         self._tls, self._server_name = tls, server_name
         self._idle: dict[tuple[str, int], list[Upstream]] = {}
         self._count: dict[tuple[str, int], int] = {}
@@ -208,9 +258,12 @@
 
     def take(self, address: tuple[str, int]) -> Upstream | None:
         """An idle connection, the last used first; ended ones are dropped on the way."""
-        idle = self._idle.get(address)
-        while idle:
-            found = idle.pop()
+        idle = self._idle.get(address, [])
+        rested = now_ms() - self.rest_ms
+        for place in reversed(range(len(idle))):
+            if idle[place].idle_since > rested:
+                continue
+            found = idle.pop(place)
             if found.sound:
                 return found
             self.drop(found)
@@ -218,11 +271,14 @@
 
     def reserve(self, address: tuple[str, int]) -> bool:
         """A place for a new connection; False where the bound is reached."""
-        count = self._count.get(address, 0)
-        if count >= self._bound or (self._bound_of_all and self.connections >= self._bound_of_all
-                                    and not self._drop_longest_idle()):
+        if self._count.get(address, 0) >= self._bound:
+            idle = self._idle.get(address)  # what is there rests: `take` has found nothing
+            if not idle:
+                return False
+            self.drop(idle.pop(0))
+        elif self._bound_of_all and self.connections >= self._bound_of_all and not self._drop_longest_idle():
             return False
-        self._count[address] = count + 1
+        self._count[address] = self._count.get(address, 0) + 1
         return True
 
     def _drop_longest_idle(self) -> bool:
@@ -262,7 +318,7 @@
             transport, protocol = await loop.create_connection(
                 lambda: WatchedProtocol(reader), *address, ssl=self._tls,
                 server_hostname=(self._server_name or None) if self._tls else None)
-        except (OSError, asyncio.CancelledError) as error:
+        except BaseException as error:
             self.release(address)
             if isinstance(error, ssl.SSLError):
                 self._refused(f"{address[0]}:{address[1]}", getattr(error, "verify_message", "") or str(error.reason))
@@ -270,13 +326,15 @@
         sock = transport.get_extra_info("socket")
         with suppress(OSError):  # it has ended already
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD)
+        undelayed(transport)
         protocol.secure = self._tls is not None
         self.opened += 1
         return Upstream(address, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
 
     def put(self, upstream: Upstream) -> None:
         """Keep a connection whose answer is whole for the next attempt."""
-        if not upstream.wire.reusable or upstream.reader.ended:
+        unsent = upstream.writer.transport.get_write_buffer_size()  # it was answered before it was all there
+        if not upstream.wire.reusable or upstream.reader.ended or unsent:
             self.drop(upstream)
             return
         upstream.reader.touched = False
--- a/martenstep/node/counter.py
+++ b/martenstep/node/counter.py
@@ -14,6 +14,7 @@
 from martenstep.backoff import Backoff
 from martenstep.door.wires import now_ms
 from martenstep.interface import Verdict
+from martenstep.tasks import standing
 
 LANES = 4  # connections; the counter takes 32 of a front door
 LANE_CALLS = 256  # out on one: what stands behind more would be answered long after its time
@@ -130,8 +131,10 @@
 class Counter:
     """The calls of one front door."""
 
-    def __init__(self, address: tuple[str, int], answered: Answered) -> None:
-        self._address, self.tell = address, answered
+    def __init__(self, address: tuple[str, int], answered: Answered,
+                 failed: Callable[[str, BaseException], None] = lambda where, error: None) -> None:
+        """`failed` is told where a standing task ended by what nobody expected."""
+        self._address, self.tell, self._failed = address, answered, failed
         self._links: list[_Link] = []
         self._old: list[_Link] = []  # of an address that has been left: their answers still count
         self._dialling: asyncio.Task[None] | None = None
@@ -141,7 +144,7 @@
 
     def start(self) -> None:
         """Connect."""
-        self._sweeper = asyncio.get_running_loop().create_task(self._sweep())
+        self._sweeper = standing(self._sweep, self._failed)
         self._dial()
 
     def stop(self) -> None:
@@ -149,7 +152,8 @@
         for task in (self._sweeper, self._dialling):
             if task is not None:
                 task.cancel()
-        for link in [*self._links, *self._old]:
+        links, self._links, self._old = [*self._links, *self._old], [], []  # else each would be dialled anew as it ends
+        for link in links:
             link.close()
 
     def move(self, address: tuple[str, int]) -> None:
@@ -202,7 +206,7 @@
 
     def _dial(self) -> None:
         if self._dialling is None or self._dialling.done():
-            self._dialling = asyncio.get_running_loop().create_task(self._connect())
+            self._dialling = standing(self._connect, self._failed)
 
     async def _connect(self) -> None:
         loop = asyncio.get_running_loop()
--- a/martenstep/tasks.py
+++ b/martenstep/tasks.py
@@ -6,6 +6,21 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+AGAIN_S = 0.05  # before a standing task that failed is begun anew: one that fails at once must not take all the time
+
+
+def standing(work: Callable[[], Coroutine[Any, Any, None]], failed: Callable[[str, BaseException], None],
+             ) -> asyncio.Task[None]:
+    """A task that runs as long as its owner: whatever it raises is told, and it is begun anew."""
+    async def run() -> None:
+        while True:
+            try:
+                return await work()
+            except Exception as error:
+                failed(work.__qualname__, error)
+            await asyncio.sleep(AGAIN_S)
+    return asyncio.get_running_loop().create_task(run())
+
 
 class Tasks:
     """Those of one owner."""
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -552,7 +552,9 @@
     run(test())
 
 
-def test_a_request_that_comes_as_the_door_tells_its_client_to_go_reaches_no_server() -> None:
+@pytest.mark.parametrize("closed", [True, False])
+def test_a_request_that_crosses_the_doors_going_is_answered_or_reaches_no_server(closed: bool) -> None:
+    """Read before the door closes: it has it, and answers.  Read behind the close: nobody has it."""
     heads = []
 
     async def tells(peer: Peer) -> None:
@@ -566,9 +568,14 @@
             await peer.write(get("/read/1"))
             await peer.response()
             [client] = door.driver.clients
+            assert not closed or client.retire()
             client.reader.feed_data(get("/read/2").encode())  # read from the socket, and its reader not run yet
+            assert client.asking is not closed and not client.retire()
             assert await door.driver.stop(1000.0)
-            assert len(heads) == 1 and not door.driver.flights
+            assert len(heads) == (1 if closed else 2) and not door.driver.flights
+            if not closed:
+                assert (await peer.response())[0] == 200, "and with an answer, not only an effect"
+            assert await peer.rest() == b""
     run(test())
 
 
