Tests of half answers and of bytes one by one fail without their bounds

Need: mutants 'whole', 'late per read' and 'term at start' were survived: the other bound ended the wait, or the second half was sent behind the first. Change: each test holds the other bound far away.

--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -215,6 +215,7 @@
     """The rest never comes; neither does a watch that has waited forget that its own time is over."""
     monkeypatch.setattr(discovery, "WAIT_MS", 10)
     monkeypatch.setattr(discovery, "LATE_MS", 20.0)
+    monkeypatch.setattr(discovery, "WHOLE_MS", 60_000.0)
     turns: list[str] = []
 
     async def agent(peer: Peer) -> None:
@@ -248,6 +249,7 @@
             for place in range(len(body) - 1):
                 await peer.write(body[place:place + 1])
                 await asyncio.sleep(0.005)
+            await peer.rest()
         await peer.write(body)
         await peer.rest()
 
