More crossings: a listener that closes, connections in use as their backend goes, answers without an end

Each was forced in a test and fails with its mend taken back: - Whoever stood in the accept queue as the listener closed was reset. Found by its own test: asyncio's server refuses a transport for whom it accepted in the last turns before its close (`Server._attach` asserts). The queue is emptied, accepting ends, then it closes. - `Pool.forget` closed idle connections only: one in use went back to the pool of an address that may be another backend's by then. - An answer without an end that had outgrown what is held back was passed on beyond its client's time, since the deadline does not run for a streamed answer; the platform has none. It is broken then, so that the client can tell. - A move that came before the start began one follower, and the start another.

--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -39,6 +39,7 @@
     WatchedProtocol,
     WatchedReader,
     now_ms,
+    pending,
     ready_for,
 )
 from martenstep.tasks import standing
@@ -55,6 +56,8 @@
 PASS_BYTES = 65536  # of an answer that a slow client has not taken yet, before its server is read no further
 LINGER_BYTES = 262144  # of an unread body that are read and thrown away, so that a reset does not eat the answer
 LINGER_MS = 1000.0
+MADE_TURNS = 5  # turns of the loop from accepting a connection until it is made
+QUEUE_MS = 100.0  # and in this time the queue is emptied before the listener closes
 END_MS = 150.0  # at its end: clients that were told to go close their connections in this time
 TURNED_AWAY_MS = 300.0  # whoever finds a full house has this long to take the answer, ...
 TURNED_AWAY = 8  # ... and so many at once: each holds a descriptor beyond the bound
@@ -474,6 +477,14 @@
         if leave_ms:
             await asyncio.sleep(leave_ms / 1000)
         if self._server is not None:
+            # Whoever stands in the queue would be reset, perhaps over a request.
+            while any(pending(sock) for sock in self._server.sockets) and now_ms() < begun + leave_ms + QUEUE_MS:
+                await asyncio.sleep(0)
+            for sock in self._server.sockets:
+                self.loop.remove_reader(sock.fileno())
+            # Whoever is accepted has a transport turns later, which asyncio's server refuses once it is closed.
+            for _ in range(MADE_TURNS):
+                await asyncio.sleep(0)
             self._server.close()
         if stay_ms:
             await asyncio.sleep(max(begun + stay_ms - now_ms(), 0.0) / 1000)
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -97,7 +97,7 @@
         self._gateway = Gateway(self.settings, seed)
         self._status, self._wording = parts.status, parts.wording
         self._name, self._id_header = parts.name, parts.id_header
-        self._connect_ms, self._cancel = parts.connect_ms, parts.cancel
+        self._connect_ms, self._cancel, self._streams = parts.connect_ms, parts.cancel, parts.streams
         self._records, self._noted = parts.records, parts.noted
         self._max_wait = parts.max_wait_ms
         self._sampler = parts.sampler
@@ -192,7 +192,7 @@
         self._now = max(now, self._now)
         for exchange in list(self._exchanges.values()):
             attempt = exchange.attempt
-            if exchange.settled or (attempt and attempt.begun):
+            if exchange.settled or (attempt and attempt.begun):  # the end of the connection tells that it is not whole
                 self._deadline(exchange.ticket)
                 continue
             if exchange.told:
@@ -731,7 +731,7 @@
         if exchange is None:
             return
         attempt = exchange.attempt
-        if attempt and attempt.begun:
+        if attempt and attempt.begun and self._streams:
             return  # a streamed answer that has begun belongs to the client
         exchange.timed_out = True
         if exchange.settled:
--- a/martenstep/door/parts.py
+++ b/martenstep/door/parts.py
@@ -135,6 +135,7 @@
     connect_ms: float
     cancel: bool  # an attempt may be called off before its end
     max_wait_ms: float  # of a retry-after
+    streams: bool = True  # an answer that has begun may go on beyond its request's deadline
     records: bool = False  # the counter service keeps tries
     noted: bool = True  # each final answer is told to the log
     auth: AuthParts | None = None
--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import socket
 import ssl
@@ -176,8 +177,15 @@
 def ready_for(writer: asyncio.StreamWriter, events: int) -> bool:
     """Whether the kernel tells one of `events` (select.POLL...) of a connection now, before the loop has looked."""
     number = writer.get_extra_info("socket").fileno()
-    if number < 0:
-        return True
+    return number < 0 or _told(number, events)
+
+
+def pending(listener: socket.socket) -> bool:
+    """Whether connections stand in a listener's queue."""
+    return listener.fileno() >= 0 and _told(listener.fileno(), select.POLLIN)
+
+
+def _told(number: int, events: int) -> bool:
     poll = select.poll()
     poll.register(number, events)
     return any(told & events for _, told in poll.poll(0))
@@ -186,11 +194,12 @@
 class Upstream:
     """One connection to a server."""
 
-    __slots__ = ("_bounded", "_poll", "address", "idle_since", "paused", "reader", "wire", "writer")
+    __slots__ = ("_bounded", "_poll", "address", "idle_since", "made_at", "paused", "reader", "wire", "writer")
 
     def __init__(self, address: tuple[str, int], reader: WatchedReader, writer: asyncio.StreamWriter) -> None:
         self.address, self.reader, self.writer = address, reader, writer
         self.wire = Asking()
+        self.made_at = now_ms()
         self.idle_since = 0.0
         self.paused = False  # reading stands still for a slow client
         self._bounded = False
@@ -249,6 +258,7 @@
         self._tls, self._server_name = tls, server_name
         self._idle: dict[tuple[str, int], list[Upstream]] = {}
         self._count: dict[tuple[str, int], int] = {}
+        self._forgotten: dict[tuple[str, int], float] = {}  # when; connections of before are not kept
         self.opened = 0
 
     @property
@@ -291,7 +301,10 @@
         return True
 
     def forget(self, address: tuple[str, int]) -> None:
-        """Close the idle connections to an address whose server has gone: another may come to it."""
+        """Close the idle connections to an address whose server has gone, and those in use after their answer: another
+        may come to it."""
+        if address in self._count:
+            self._forgotten[address] = now_ms()
         for upstream in self._idle.pop(address, []):
             self.drop(upstream)
 
@@ -303,6 +316,7 @@
         else:
             self._count.pop(address, None)
             self._idle.pop(address, None)
+            self._forgotten.pop(address, None)
 
     async def dial(self, address: tuple[str, int]) -> Upstream:
         """Make a connection in a place that is reserved; raises OSError.  Where none is made, the place is given
@@ -334,7 +348,8 @@
     def put(self, upstream: Upstream) -> None:
         """Keep a connection whose answer is whole for the next attempt."""
         unsent = upstream.writer.transport.get_write_buffer_size()  # it was answered before it was all there
-        if not upstream.wire.reusable or upstream.reader.ended or unsent:
+        old = upstream.made_at <= self._forgotten.get(upstream.address, -math.inf)
+        if not upstream.wire.reusable or upstream.reader.ended or unsent or old:
             self.drop(upstream)
             return
         upstream.reader.touched = False
--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -144,10 +144,10 @@
         if address == self._address:
             return
         self._address = address
-        if self._task is not None:
-            self._task.cancel()
         self._follower.rev = None
-        self.start()
+        if self._task is not None:  # else it has not been started: it will ask at the new address
+            self._task.cancel()
+            self.start()
 
     def stop(self) -> None:
         """Ask no more."""
--- a/martenstep/node/protocol.py
+++ b/martenstep/node/protocol.py
@@ -199,4 +199,5 @@
     return Parts(
         name=config.name, settings=settings, routes=requests, targets=requests, status=Statuses(), wording=Words(),
         id_header=ID, margin_ms=MARGIN_MS, max_open=config.max_open, connect_ms=config.upstream.connect_ms,
-        cancel=settings.can_cancel, max_wait_ms=settings.max_retry_after_ms, noted=False)
+        cancel=settings.can_cancel, max_wait_ms=settings.max_retry_after_ms, streams=False,
+        noted=False)
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -9,6 +9,7 @@
 import select
 import socket
 import struct
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -20,6 +21,7 @@
 from martenstep.door.events import Ending
 from martenstep.door.wires import GONE, READ_BYTES, Pool
 from martenstep.node.config import REST_MS, Leaving
+from martenstep.node.discovery import Discovery, Follower
 from tests.node_rig import SETTINGS, request, target
 from tests.socket_rig import Back, Peer, run
 from tests.test_node_door import Place, place, serves
@@ -618,3 +620,92 @@
                 node._listed(listed)
                 assert pool.connections == idle
     run(test())
+
+
+def test_a_connection_in_use_as_its_backend_goes_is_not_kept(tmp_path: Path) -> None:
+    """Its address may be another's by the time its answer is whole."""
+    async def test() -> None:
+        gate = asyncio.Event()
+
+        async def holds(peer: Peer) -> None:
+            while True:
+                await peer.head()
+                await gate.wait()
+                await peer.answer()
+
+        async with place(tmp_path, holds) as door:
+            node, pool = door.node, door.node.driver.pool
+            peer = await door.client()
+            await peer.write(request(1))
+            await until(lambda: [flight for flight in node.driver.flights.values() if flight.upstream])
+            [(_, port)] = node.engine.addresses.values()
+            told = [target("s-0", port, state="gone"), target("s-new", port)]
+            listed = node._follower.told({"rev": 2, "all": False, "targets": told})
+            assert listed is not None
+            node._listed(listed)
+            gate.set()
+            assert (await peer.response())[0] == 200
+            assert pool.connections == 0 and not pool._forgotten
+            await peer.write(request(2))
+            assert (await peer.response())[0] == 200 and pool.opened == 2 and pool.connections == 1
+            peer.close()
+    run(test())
+
+
+def test_an_answer_without_an_end_ends_with_its_clients_time(tmp_path: Path) -> None:
+    """More than is held back has come: the deadline ran no longer, and the client waited for ever."""
+    async def endless(peer: Peer) -> None:
+        await peer.head()
+        await peer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 300_000)
+        with contextlib.suppress(ConnectionError):
+            while True:
+                await peer.write(b"x")
+                await asyncio.sleep(0.005)
+
+    async def test() -> None:
+        async with place(tmp_path, endless) as door:
+            peer = await door.client()
+            await peer.write(request(1, X_Expires_In_Ms="400"))
+            assert not (await peer.rest()).endswith(b"0\r\n\r\n"), "it can tell that this is not whole"
+            assert door.node.engine.answers == {"broken answer": 1} and door.node.engine.verdicts == {"timeout": 1}
+    run(test())
+
+
+def test_who_stands_in_the_queue_as_the_listener_closes_is_answered(tmp_path: Path) -> None:
+    """The connections came while the loop was busy until the very end of accepting."""
+    async def test() -> None:
+        async with place(tmp_path, serves) as door:
+            door.node.leaving = Leaving(30.0, LONG_MS, LONG_MS)
+            stopping = asyncio.create_task(door.node.stop())
+            await asyncio.sleep(0)
+            late = [Raw(door.port, request(number)) for number in range(3 * ACCEPT_TURN)]
+            time.sleep(0.05)  # the loop stands: its next turn finds the queue full and the time over
+            for one in late:
+                peer = await one.peer()
+                assert (await peer.response())[0] in (200, 503), "served or refused, and not reset"
+                peer.close()
+            stopping.cancel()
+            door.node.driver.stopping = False
+    run(test())
+
+
+def test_a_move_before_the_start_makes_one_follower_of_the_new_agent(tmp_path: Path) -> None:
+    """A signal that came early is obeyed before the door asks for the first time."""
+    async def test() -> None:
+        asked: list[str] = []
+
+        async def told(peer: Peer) -> None:
+            asked.append(await peer.head())
+            await peer.answer('{"rev": 1, "all": true, "targets": []}')
+            asked.append(await peer.head())
+            await peer.rest()
+
+        back = Back(told)
+        made = Discovery(("127.0.0.1", 1), Follower(), lambda listed: None, lambda event, fields: None)
+        made.move(("127.0.0.1", await back.start()))
+        made.start()
+        await until(lambda: len(asked) == 2)
+        assert back.connections == 1 and "after=1&" in asked[1]
+        made.stop()
+        back.stop()
+    run(test())
