--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -598,8 +598,12 @@
         if exchange.told:
             self._tell(api.Left(exchange.rid))
         attempt = exchange.attempt
-        # What is not written yet is no work of the server's that would be called off: it is never begun for nobody.
-        if attempt and attempt.open and (self._cancel or attempt.begun or not attempt.written):
+        if attempt and attempt.open and not attempt.written:
+            # No work of the server's that would be called off, and no failure of its: it is never begun, for nobody.
+            attempt.open = False
+            self._out.append(ev.Abandon(exchange.ticket, attempt.number))
+            self._outcome(exchange, attempt, Verdict.MOOT, True)
+        elif attempt and attempt.open and (self._cancel or attempt.begun):
             self._stop(exchange, attempt, Verdict.CANCELLED)
         self._forget(exchange)
 
