--- a/tests/test_node_sites.py
+++ b/tests/test_node_sites.py
@@ -29,7 +29,8 @@
 
 def worded(number: int, cls: dict[str, Any], plan: str, **told: Any) -> str:
     """A request of a class, as its effect has it worded."""
-    headers: dict[str, Any] = {"X_Plan": plan, "X_Expires_In_Ms": str(int(cls["deadline_ms"])), "X_Quota": "units=1,spread=2,first=0"}
+    headers: dict[str, Any] = {"X_Plan": plan, "X_Expires_In_Ms": str(int(cls["deadline_ms"])),
+                               "X_Quota": "units=1,spread=2,first=0"}
     if cls["idempotency"] == "idempotent":
         return request(number, cls["name"], **headers, **told)
     if cls["idempotency"] == "at_most_once":
