A slow reader gets the last answer whole; only who takes nothing is cut off

The cut of closed connections whose client takes nothing came a second after the close, progress or not: on an ordinary door a client at 20 kB/s would have lost the end of its answer. Lines: Client.run's end. Change: it is looked at again after each answer_idle_ms, and cut off where nothing moved. What stands behind a request is thrown away only where requests are taken whole (the platform): elsewhere it may be a long body. Test: 16 MB to a client that takes them, and to one that does not.

--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import socket
 from collections import deque
@@ -203,8 +204,17 @@
             pass
         finally:
             self.writer.close()
-            if self.writer.transport.get_write_buffer_size():  # whoever takes nothing would hold it for ever
-                self._driver.loop.call_later(LINGER_MS / 1000, self.writer.transport.abort)
+            self._cut(math.inf)
+
+    def _cut(self, left: float) -> None:
+        """Cut off a closed connection whose client stops taking what is still to be written: it would hold its
+        descriptor for ever."""
+        transport = self.writer.transport
+        now_left = transport.get_write_buffer_size()
+        if now_left >= left:
+            transport.abort()
+        elif now_left:
+            self._driver.loop.call_later(self._driver.upstream.answer_idle_ms / 1000, self._cut, now_left)
 
     async def turn_away(self) -> None:
         """Answer where no place is: the request, if one comes, must not turn the close into a reset."""
@@ -275,7 +285,7 @@
             self.wire.next()  # the end of a message without a body
         if body is not None and driver.listener.whole_body and not await self._all_of(body):
             return
-        if body is None or body.complete:
+        if driver.listener.whole_body:  # elsewhere what stands behind may be long, and is waited with
             self.reader.spill()
         ticket = driver.ticket()
         flight = self.flight = Flight(ticket, self, body, driver.loop.create_future())
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import select
 import socket
@@ -343,7 +344,7 @@
 class _Impatient:
     """Bounds with a wait that a test can wait for."""
 
-    answer_idle_ms = 30.0
+    answer_idle_ms = 100.0
 
     def __init__(self, bounds: Any) -> None:
         self._bounds = bounds
@@ -736,3 +737,32 @@
             assert status == 503 and len(heads) == 1 and len(dials) == 2
             assert door.node.engine.verdicts == {"reset": 1, "connect failed": 1}
     run(test())
+
+
+@pytest.mark.parametrize("takes", [True, False])
+def test_a_closed_connection_is_cut_off_only_where_its_client_takes_nothing(tmp_path: Path, takes: bool) -> None:
+    """A slow reader of the last answer gets all of it."""
+    size = 16 << 20
+
+    async def test() -> None:
+        async with place(tmp_path, serves) as door:
+            driver = door.node.driver
+            driver.upstream = _Impatient(driver.upstream)
+            raw = Raw(door.port)
+            client = await only(door)
+            client.writer.write(b"x" * size)
+            client.writer.close()
+            client._cut(math.inf)
+            left = client.writer.transport.get_write_buffer_size()
+            assert left, "more than the kernel takes"
+            if takes:
+                peer, taken = await raw.peer(), 0
+                while data := await peer.reader.read(4 << 20):
+                    taken += len(data)
+                assert taken == size
+                peer.close()
+            else:
+                await until(lambda: not client.writer.transport.get_write_buffer_size())
+                assert client.writer.transport.get_extra_info("socket").fileno() < 0
+                raw.socket.close()
+    run(test())
