--- a/martenstep/node/early.py
+++ b/martenstep/node/early.py
@@ -9,7 +9,7 @@
 import signal
 from types import FrameType
 
-MINDED = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+MINDED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)  # who sees the last of them caught knows of all
 
 
 class Early:
