Names of the field for what this repair added: close_idle, reject, drained, drain plan, timing, pending signals

Need: the house asks for standard terms. Change: names alone. `retire` is close_idle, `turn_away` reject, `_taken` _drained, `left` has_gone, `Leaving` DrainPlan, `Pace` Timing with timeout and back-off, `Early` PendingSignals.

--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -163,7 +163,7 @@
             self._driver.act(ev.ClientLeft(self.flight.ticket))
             self.flight.finish()
 
-    def left(self) -> bool:
+    def has_gone(self) -> bool:
         """Whether the client has gone, by the kernel's word: of one that sent so much that reading stands still the
         loop never hears, and of any other a busy loop hears late.  Its request ends then."""
         writer = self.writer
@@ -179,7 +179,7 @@
         them and closes has lost it."""
         return not self.closing and (self.flight is not None or self.partial or bool(self.reader.unread))
 
-    def retire(self) -> bool:
+    def close_idle(self) -> bool:
         """End a connection between two requests; False where one may have begun."""
         if self.closing or self.asking or ready_for(self.writer, select.POLLIN):
             return False
@@ -216,7 +216,7 @@
         elif now_left:
             self._driver.loop.call_later(self._driver.upstream.answer_idle_ms / 1000, self._cut, now_left)
 
-    async def turn_away(self) -> None:
+    async def reject(self) -> None:
         """Answer where no place is: the request, if one comes, must not turn the close into a reset."""
         self.plain(503, "full house")
         await self._linger(TURNED_AWAY_MS)
@@ -297,13 +297,13 @@
                 flight.pump.cancel()
                 with suppress(asyncio.CancelledError):
                     await flight.pump
-            await self._taken()
+            await self._drained()
         finally:
             self.flight, self.reader.spills = None, False
             if flight.task is None and flight.upstream is None:
                 driver.flights.pop(ticket, None)
 
-    async def _taken(self) -> None:
+    async def _drained(self) -> None:
         """Until the client has taken its answer, or has stopped taking it: then it is cut off, since its connection
         would hold a place, and the end of the door, for ever."""
         transport = self.writer.transport
@@ -502,7 +502,7 @@
         until = now_ms() + within_ms
         while True:
             for client in self.clients:
-                client.retire()
+                client.close_idle()
             if now_ms() >= until or not (self.engine.open or any(client.asking for client in self.clients)):
                 break
             await asyncio.sleep(0.01)
@@ -542,7 +542,7 @@
                 client.plain(503, "full house")
                 writer.close()
                 return
-            away = self.loop.create_task(client.turn_away())
+            away = self.loop.create_task(client.reject())
             self._turning_away.add(away)
             away.add_done_callback(self._turning_away.discard)
             return
@@ -599,7 +599,7 @@
                     client.plain(408, "head too slow")
                     client.writer.close()
                 elif not client.partial and now - client.since > self.listener.idle_ms:
-                    client.retire()
+                    client.close_idle()
             for flight in list(self.flights.values()):
                 if flight.passing and now - flight.progress > self.upstream.answer_idle_ms:
                     self._failed(flight, Ending.STALLED)
@@ -724,7 +724,7 @@
         flight = self.flights.get(action.ticket)
         if flight is None:
             return
-        if flight.client.left():  # this attempt ends with it, unwritten
+        if flight.client.has_gone():  # this attempt ends with it, unwritten
             return
         self.counts["attempts"] += 1
         flight.number, flight.held, flight.held_bytes, flight.answer_bytes = action.attempt, [], 0, 0
@@ -773,7 +773,7 @@
             self.pool.drop(upstream)
             return
         flight.task = None
-        if flight.client.left():  # while it was being made; nothing was written to it
+        if flight.client.has_gone():  # while it was being made; nothing was written to it
             self.pool.put(upstream)
             return
         self._begin(flight, action, upstream)
--- a/martenstep/node/__main__.py
+++ b/martenstep/node/__main__.py
@@ -1,10 +1,10 @@
 """`python -m martenstep.node`."""
 
-from martenstep.node.early import Early
+from martenstep.node.pending_signals import PendingSignals
 
 if __name__ == "__main__":
-    early = Early()
-    early.keep()
+    pending = PendingSignals()
+    pending.keep()
     from martenstep.node.daemon import main  # loading takes most of a start: signals must be kept meanwhile
 
-    main(early)
+    main(pending)
--- a/martenstep/node/config.py
+++ b/martenstep/node/config.py
@@ -71,7 +71,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Leaving:
+class DrainPlan:
     """What a door does between SIGTERM and SIGKILL, in milliseconds after the first."""
 
     accept_ms: float  # connections are accepted
@@ -79,12 +79,12 @@
     answer_ms: float  # all are answered, whatever is out
 
 
-def leaving_of(settings: api.Settings) -> Leaving:
+def drain_plan_of(settings: api.Settings) -> DrainPlan:
     """By the longest deadline that the settings have, as the platform reckons when it kills."""
     longest = max((cls.deadline_ms for cls in settings.classes), default=GRACE_MOST_MS)
     answer_ms = min(longest, GRACE_MOST_MS) + GRACE_MORE_MS - LAST_MS
     serve_ms = max(answer_ms - min(TAIL_MS, longest), LEAVE_LEAST_MS)
-    return Leaving(min(LEAVE_MS, serve_ms), serve_ms, max(answer_ms, serve_ms))
+    return DrainPlan(min(LEAVE_MS, serve_ms), serve_ms, max(answer_ms, serve_ms))
 
 
 @dataclass(frozen=True, slots=True)
--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -23,10 +23,10 @@
 from martenstep.door.wires import now_ms
 from martenstep.interface import Scope, Verdict
 from martenstep.members.lists import Listed
-from martenstep.node.config import REST_MS, Config, ConfigError, leaving_of, load_config
+from martenstep.node.config import REST_MS, Config, ConfigError, drain_plan_of, load_config
 from martenstep.node.counter import Counter
 from martenstep.node.discovery import AGENT, SERVICE, Discovery, DiscoveryError, Follower
-from martenstep.node.early import Early
+from martenstep.node.pending_signals import PendingSignals
 from martenstep.node.protocol import Requests, parts_of
 from martenstep.tasks import standing
 
@@ -56,13 +56,13 @@
 class Node:
     """One front door."""
 
-    def __init__(self, config: Config, path: Path, early: Early | None = None) -> None:
-        """`early` holds the signals that have come already."""
-        self._path, self._early = path, early
+    def __init__(self, config: Config, path: Path, pending: PendingSignals | None = None) -> None:
+        """`pending` holds the signals that have come already."""
+        self._path, self._pending = path, pending
         self.config = config
         self._ended = False
         self._notes = Notes()
-        self.leaving = leaving_of(config.settings)
+        self.drain_plan = drain_plan_of(config.settings)
         self._requests = Requests(config.settings, now_ms)
         self.engine = Engine(parts_of(config, self._requests), config.seed)
         self.driver = Driver(config.listener, config.upstream, self.engine, self._notes.note)
@@ -109,7 +109,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._end)
         loop.add_signal_handler(signal.SIGINT, self._end)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        come = self._early.come if self._early is not None else set()
+        come = self._pending.come if self._pending is not None else set()
         if come & {signal.SIGTERM, signal.SIGINT}:
             return  # nothing was taken
         if signal.SIGHUP in come:
@@ -154,8 +154,8 @@
         self._notes.note("stopping", {"open": self.engine.open})
         if self._telling is not None:
             self._telling.cancel()
-        leaving = self.leaving
-        clean = await self.driver.stop(leaving.answer_ms - leaving.serve_ms, leaving.accept_ms, leaving.serve_ms)
+        plan = self.drain_plan
+        clean = await self.driver.stop(plan.answer_ms - plan.serve_ms, plan.accept_ms, plan.serve_ms)
         self._ended = True
         self._discovery.stop()
         if self._counter is not None:
@@ -185,7 +185,7 @@
         self._notes.note("configuration taken up", {"after_a_restart": waits} if waits else {})
 
 
-def main(early: Early | None = None) -> None:
+def main(pending: PendingSignals | None = None) -> None:
     """`python -m martenstep.node`: 0 after SIGTERM, 2 where the configuration cannot be used."""
     path = os.environ.get("NODE_CONFIG", "")
     try:
@@ -200,6 +200,6 @@
     gc.set_threshold(GC_THRESHOLD, 20, 50)
 
     async def serve() -> None:
-        await Node(config, Path(path), early).run()
+        await Node(config, Path(path), pending).run()
 
     asyncio.run(serve())
--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -35,21 +35,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Pace:
+class Timing:
     """How long an answer is waited for, and how soon a call that failed is made again, in milliseconds."""
 
-    late_ms: float  # an answer that is so late, or stands still for so long, is not coming
-    late_most_ms: float  # and up to this, twice as long after each that did not come
-    again_ms: float  # back-off, from this ...
-    again_most_ms: float  # ... to this
+    timeout_ms: float  # an answer that is so late, or stands still for so long, is not coming
+    timeout_most_ms: float  # and up to this, twice as long after each that did not come
+    backoff_ms: float  # back-off, from this ...
+    backoff_most_ms: float  # ... to this
 
 
 # Lists are pushed: the agent is on this machine and answers at once or, while discovery is down, not at all.
-AGENT = Pace(250.0, 250.0, 10.0, 250.0)
+AGENT = Timing(250.0, 250.0, 10.0, 250.0)
 # Lists are asked for: discovery itself answers, late or with a refusal where many ask at once.  Who gives up its
 # answers and asks anew at once keeps it there, and the list never comes.  A watch that fell silent is found, and three
 # calls wait, within the 6 s after which a change counts as told.
-SERVICE = Pace(500.0, 1500.0, 50.0, 800.0)
+SERVICE = Timing(500.0, 1500.0, 50.0, 800.0)
 
 
 class DiscoveryError(Exception):
@@ -129,8 +129,8 @@
     """Follows the agent over a socket."""
 
     def __init__(self, address: tuple[str, int], follower: Follower, tell: Callable[[Listed], None],
-                 note: Callable[[str, dict[str, Any]], None], pace: Pace = AGENT) -> None:
-        self._pace, self._late_ms = pace, pace.late_ms
+                 note: Callable[[str, dict[str, Any]], None], timing: Timing = AGENT) -> None:
+        self._timing, self._timeout_ms = timing, timing.timeout_ms
         self._address, self._follower, self._tell, self._note = address, follower, tell, note
         self._task: asyncio.Task[None] | None = None
         self._lost = False
@@ -155,7 +155,7 @@
             self._task.cancel()
 
     async def _run(self) -> None:
-        backoff = Backoff(self._pace.again_ms, self._pace.again_most_ms)
+        backoff = Backoff(self._timing.backoff_ms, self._timing.backoff_most_ms)
         while True:
             try:
                 await self._follow(backoff)
@@ -166,7 +166,7 @@
                 elif not self._lost:
                     self._note("discovery lost", {"error": repr(error)})
                 if isinstance(error, TimeoutError) and self._follower.rev is None:  # not of a watch
-                    self._late_ms = min(2 * self._late_ms, self._pace.late_most_ms)
+                    self._timeout_ms = min(2 * self._timeout_ms, self._timing.timeout_most_ms)
                 self._lost = True
                 self._follower.rev = None  # a watch that broke is begun anew with the whole list
             await asyncio.sleep(backoff.failed() / 1000)
@@ -181,12 +181,12 @@
             while True:
                 target = self._follower.target().encode()
                 writer.write(wire.head(b"GET", target, [(b"host", host)]) + wire.end())
-                wait_ms = self._late_ms if self._follower.rev is None else WAIT_MS + self._late_ms
+                wait_ms = self._timeout_ms if self._follower.rev is None else WAIT_MS + self._timeout_ms
                 async with asyncio.timeout((wait_ms + WHOLE_MS) / 1000):
                     body = await self._answer(reader, wire, wait_ms)
                 listed = self._follower.take(body)
                 backoff.succeeded()
-                self._late_ms = self._pace.late_ms
+                self._timeout_ms = self._timing.timeout_ms
                 if self._lost:
                     self._lost = False
                     self._note("discovery back", {"rev": self._follower.rev})
@@ -206,7 +206,7 @@
             if event is None:
                 async with asyncio.timeout(wait_ms / 1000):
                     wire.feed(await reader.read(READ_BYTES))
-                wait_ms = self._late_ms
+                wait_ms = self._timeout_ms
             elif isinstance(event, AnswerHead):
                 if event.status != 200:
                     raise DiscoveryError(f"answered {event.status}")
--- a/martenstep/node/early.py
+++ b/martenstep/node/pending_signals.py
@@ -12,7 +12,7 @@
 MINDED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)  # who sees the last of them caught knows of all
 
 
-class Early:
+class PendingSignals:
     """Which of them have come."""
 
     def __init__(self) -> None:
--- a/tests/test_node_config.py
+++ b/tests/test_node_config.py
@@ -18,7 +18,7 @@
 from martenstep.door.events import Arrived, Tick
 from martenstep.interface import Scope, Server, State
 from martenstep.members.lists import Listed
-from martenstep.node.config import ConfigError, leaving_of, read_config
+from martenstep.node.config import ConfigError, drain_plan_of, read_config
 from martenstep.node.protocol import Requests, parts_of
 from tests.node_rig import SETTINGS, config, raw, request, target
 
@@ -92,7 +92,7 @@
     with short deadlines was killed with requests in its hands."""
     classes = [{**SETTINGS["classes"][0], "name": f"c{number}", "deadline_ms": deadline}
                for number, deadline in enumerate(deadlines)]
-    leaving = leaving_of(config(settings={**SETTINGS, "classes": classes}).settings)
+    leaving = drain_plan_of(config(settings={**SETTINGS, "classes": classes}).settings)
     assert leaving.accept_ms >= 400.0, "new connections come for so long"
     assert leaving.accept_ms <= leaving.serve_ms <= leaving.answer_ms <= grace - END_MS - 100.0
 
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -21,7 +21,7 @@
 from martenstep.door.driver import ACCEPT_TURN, TURNED_AWAY, YOUNG_MS, Client
 from martenstep.door.events import Ending
 from martenstep.door.wires import GONE, READ_BYTES, Pool, now_ms
-from martenstep.node.config import REST_MS, Leaving
+from martenstep.node.config import REST_MS, DrainPlan
 from martenstep.node.discovery import Discovery, Follower
 from tests.node_rig import SETTINGS, request, target
 from tests.socket_rig import Back, Peer, run
@@ -376,11 +376,11 @@
             raw, client = await known(door)
             raw.send(request(2))
             if way == "idle":
-                assert not client.retire()
+                assert not client.close_idle()
             elif way == "room":
                 assert not driver._make_room()
             else:
-                door.node.leaving = Leaving(0.0, 0.0, LONG_MS)
+                door.node.drain_plan = DrainPlan(0.0, 0.0, LONG_MS)
                 stopping = asyncio.create_task(door.node.stop())
             peer = await raw.peer()
             status, head, _ = await peer.response()
@@ -416,7 +416,7 @@
             await peer.write(whole[:-3])
             client = await only(door)
             await until(lambda: client.partial)
-            door.node.leaving = Leaving(0.0, 0.0, LONG_MS)
+            door.node.drain_plan = DrainPlan(0.0, 0.0, LONG_MS)
             stopping = asyncio.create_task(door.node.stop())
             await until(lambda: door.node.driver.stopping)
             done, _ = await asyncio.wait({stopping}, timeout=0.2)
@@ -524,7 +524,7 @@
             dialled = await door.client()
             await dialled.write(request(3, "book", method="POST", body="x"))
             await until(lambda: driver.counts["attempts"] == 3)
-            door.node.leaving = Leaving(0.0, 0.0, 0.0)
+            door.node.drain_plan = DrainPlan(0.0, 0.0, 0.0)
             await door.node.stop()
             gate.set()
             assert [(await peer.response())[0] for peer in (safe, keyed, dialled)] == [503, 504, 503]
@@ -676,7 +676,7 @@
     """The connections came while the loop was busy until the very end of accepting."""
     async def test() -> None:
         async with place(tmp_path, serves) as door:
-            door.node.leaving = Leaving(30.0, LONG_MS, LONG_MS)
+            door.node.drain_plan = DrainPlan(30.0, LONG_MS, LONG_MS)
             stopping = asyncio.create_task(door.node.stop())
             await asyncio.sleep(0)
             late = [Raw(door.port, request(number)) for number in range(3 * ACCEPT_TURN)]
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -12,11 +12,11 @@
 from martenstep.interface import Scope, State
 from martenstep.members.lists import Listed
 from martenstep.node import discovery
-from martenstep.node.discovery import AGENT, CONNECT_S, SERVICE, WAIT_MS, Discovery, DiscoveryError, Follower, Pace
+from martenstep.node.discovery import AGENT, CONNECT_S, SERVICE, WAIT_MS, Discovery, DiscoveryError, Follower, Timing
 from tests.node_rig import target
 from tests.socket_rig import Back, Peer, run
 
-SHORT = Pace(60.0, 60.0, 1.0, 20.0)  # for what must be waited for
+SHORT = Timing(60.0, 60.0, 1.0, 20.0)  # for what must be waited for
 
 
 def told(rev: int, whole: bool, *targets: dict[str, Any]) -> bytes:
@@ -113,8 +113,8 @@
 
 def test_a_silent_connection_is_given_up_well_within_a_drains_second(monkeypatch: pytest.MonkeyPatch) -> None:
     """Broken on the users' bench: a watch was reset, the next connection silent, and a drain told meanwhile."""
-    assert WAIT_MS + AGENT.late_most_ms < 2000.0
-    assert 2 * (CONNECT_S * 1000.0 + AGENT.late_most_ms) < 1000.0, "two in a row"
+    assert WAIT_MS + AGENT.timeout_most_ms < 2000.0
+    assert 2 * (CONNECT_S * 1000.0 + AGENT.timeout_most_ms) < 1000.0, "two in a row"
     monkeypatch.setattr(discovery, "WAIT_MS", 10)
     asked: list[str] = []
 
@@ -191,7 +191,8 @@
 
 
 async def _followed(script: Callable[[Peer], Awaitable[None]], wanted: int,
-                    tell: Callable[[Listed], None] | None = None, pace: Pace = AGENT) -> tuple[list[Listed], list[str]]:
+                    tell: Callable[[Listed], None] | None = None,
+                    timing: Timing = AGENT) -> tuple[list[Listed], list[str]]:
     """What is told of an agent until so many lists have come, and what is noted."""
     back = Back(script)
     lists: list[Listed] = []
@@ -203,7 +204,7 @@
             tell(listed)
 
     made = Discovery(("127.0.0.1", await back.start()), Follower(), take, lambda event, fields: notes.append(event),
-                     pace)
+                     timing)
     made.start()
     while len(lists) < wanted:
         await asyncio.sleep(0.001)
@@ -230,7 +231,7 @@
         await peer.rest()
 
     async def test() -> None:
-        lists, notes = await _followed(agent, 2, pace=SHORT)
+        lists, notes = await _followed(agent, 2, timing=SHORT)
         assert [[server.id for server in listed.servers] for listed in lists] == [[1], [1]]
         watch = next(place for place, turn in enumerate(turns) if "after=1" in turn)
         assert watch >= 2 and set(turns) - {turns[watch]} == {"/catalog/members"} == {turns[watch + 1]}
@@ -255,7 +256,7 @@
         await peer.rest()
 
     async def test() -> None:
-        lists, _ = await _followed(agent, 1, pace=Pace(60_000.0, 60_000.0, 1.0, 1.0))
+        lists, _ = await _followed(agent, 1, timing=Timing(60_000.0, 60_000.0, 1.0, 1.0))
         assert len(turns) == 2 and len(lists) == 1
     run(test())
 
@@ -328,10 +329,10 @@
 def test_a_discovery_that_answers_late_is_waited_for_longer_each_time() -> None:
     """Broken on a site of our own whose lists are asked for: no answer came within the agent's 250 ms, each was given
     up and asked for anew, and drains stayed unheard for 8 s."""
-    waits = [WAIT_MS + SERVICE.late_ms, SERVICE.late_ms, 2 * SERVICE.late_ms, SERVICE.late_most_ms]
-    again = 1.5 * SERVICE.again_ms * (1 + 2 + 4)
+    waits = [WAIT_MS + SERVICE.timeout_ms, SERVICE.timeout_ms, 2 * SERVICE.timeout_ms, SERVICE.timeout_most_ms]
+    again = 1.5 * SERVICE.backoff_ms * (1 + 2 + 4)
     assert sum(waits) + again < 6000.0, "a watch that fell silent is found, and three calls are waited for"
-    assert AGENT.late_most_ms == AGENT.late_ms, "an agent that is silent is asked again soon: drains bind in a second"
+    assert AGENT.timeout_most_ms == AGENT.timeout_ms, "a silent agent is asked again soon: drains bind in a second"
     asked: list[str] = []
 
     async def late(peer: Peer) -> None:
@@ -341,7 +342,7 @@
         await peer.rest()
 
     async def test() -> None:
-        lists, notes = await _followed(late, 1, pace=Pace(10.0, 640.0, 1.0, 1.0))
+        lists, notes = await _followed(late, 1, timing=Timing(10.0, 640.0, 1.0, 1.0))
         assert len(lists) == 1 and len(asked) > 1 and notes[0] == "discovery lost"
     run(test())
 
@@ -374,7 +375,7 @@
         monkeypatch.undo()
         made.stop()
         back.stop()
-        least, most = SERVICE.again_ms, SERVICE.again_most_ms
+        least, most = SERVICE.backoff_ms, SERVICE.backoff_most_ms
         assert all(0.5 * min(least * 2 ** turn, most) <= waited <= 1.5 * min(least * 2 ** turn, most)
                    for turn, waited in enumerate(waits)) and len(waits) >= 7
     run(test())
--- a/tests/test_node_door.py
+++ b/tests/test_node_door.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from martenstep.door.driver import YOUNG_MS
-from martenstep.node.config import Leaving, load_config
+from martenstep.node.config import DrainPlan, load_config
 from martenstep.node.daemon import Node
 from tests.node_rig import raw, request, target
 from tests.socket_rig import Back, Peer, Script, run
@@ -68,7 +68,7 @@
     try:
         yield made
     finally:
-        made.node.leaving = Leaving(0.0, 0.0, 1000.0)
+        made.node.drain_plan = DrainPlan(0.0, 0.0, 1000.0)
         await made.node.stop()
         for back in [*backs, told, counter]:
             back.stop()
@@ -207,7 +207,7 @@
 def test_a_provisional_answer_ahead_is_read_past(tmp_path: Path) -> None:
     async def early(peer: Peer) -> None:
         await peer.head()
-        await peer.write("HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n")
+        await peer.write("HTTP/1.1 103 PendingSignals Hints\r\nlink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n")
         await peer.answer("served")
         await peer.rest()
 
@@ -223,7 +223,7 @@
             standing = await door.client()
             await standing.write(request(1))
             assert (await standing.response())[0] == 200
-            door.node.leaving = Leaving(100.0, 500.0, 1000.0)
+            door.node.drain_plan = DrainPlan(100.0, 500.0, 1000.0)
             leaving = asyncio.create_task(door.node.stop())
             await asyncio.sleep(0)
             status, head, _ = await door.ask(request(2))
--- a/tests/test_node_imports.py
+++ b/tests/test_node_imports.py
@@ -17,8 +17,8 @@
     "martenstep.door.wires", "martenstep.door.wire", "martenstep.door.wire.answering", "martenstep.door.wire.asking",
     "martenstep.door.wire.bodies", "martenstep.door.wire.heads", "martenstep.door.wire.readers",
     "martenstep.door.wire.writing", "martenstep.node", "martenstep.node.config", "martenstep.node.counter",
-    "martenstep.node.daemon", "martenstep.node.discovery", "martenstep.node.early", "martenstep.node.protocol",
-    "martenstep.tasks",
+    "martenstep.node.daemon", "martenstep.node.discovery", "martenstep.node.pending_signals",
+    "martenstep.node.protocol", "martenstep.tasks",
 }
 LIBRARIES = {"h11", "httptools", "msgspec", "typing_extensions"}  # the last by msgspec, where a developer has it
 LOOK = ("import json, sys, martenstep.node.daemon\n"
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -568,9 +568,9 @@
             await peer.write(get("/read/1"))
             await peer.response()
             [client] = door.driver.clients
-            assert not closed or client.retire()
+            assert not closed or client.close_idle()
             client.reader.feed_data(get("/read/2").encode())  # read from the socket, and its reader not run yet
-            assert client.asking is not closed and not client.retire()
+            assert client.asking is not closed and not client.close_idle()
             assert await door.driver.stop(1000.0)
             assert len(heads) == (1 if closed else 2) and not door.driver.flights
             if not closed:
