--- a/tests/test_auth_door.py
+++ b/tests/test_auth_door.py
@@ -267,6 +267,20 @@
     run(test())
 
 
+def test_a_verdict_that_is_reset_before_its_end_is_none() -> None:
+    """It has no length: a reset must not pass for its end."""
+    async def cuts(peer: Peer) -> None:
+        await peer.head()
+        await peer.write("HTTP/1.1 200 OK\r\nx-auth-customer: anna\r\n\r\nhalf")
+        peer.reset()
+
+    async def test() -> None:
+        async with guarded(cuts, serves) as (door, _):
+            status, _, body = await door.ask("/safe/1", "authorization: anna\r\n")
+            assert status == 503 and json.loads(body)["reason"] == "check failed"
+    run(test())
+
+
 def test_1xx_before_the_verdict_and_a_dripping_one_are_read() -> None:
     async def drips(peer: Peer) -> None:
         await peer.head()
