Engine: one place words a final answer that the module is not asked for

Need: read again. The stop's answers, those where a body is partly gone and the module's Fail each wrote out the same choice: a refusal where a retry does no harm, else 504 or 502 by whether the time is over. Change: _give_up and _fail, called by all three; the stop marks the request as timed out, which it is, in place of a status of its own. Behaviour and tests are as before.

--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -197,17 +197,14 @@
                 continue
             if exchange.told:
                 self._tell(api.Left(exchange.rid))  # else the module would answer its outcome with another attempt
-            out = attempt is not None and attempt.open
-            ran = exchange.risk_at is not None or (out and attempt is not None and attempt.written)
-            harmless = not ran or exchange.routed.cls.effect is api.Effect.SAFE
-            if harmless:
-                self._answer(exchange, UNAVAILABLE, "stopping", exchange.routed.cls.aim_ms * 0.1)
-            else:
-                self._answer(exchange, GATEWAY_TIMEOUT, "timed out", None)
-            if attempt is not None and out:
-                self._stop(exchange, attempt, Verdict.TIMEOUT)
-        out_now, self._out = self._out, []
-        return out_now
+            open_attempt = attempt if attempt and attempt.open else None
+            may_have_run = exchange.risk_at is not None or (open_attempt is not None and open_attempt.written)
+            exchange.timed_out = True
+            self._give_up(exchange, not may_have_run or exchange.routed.cls.effect is api.Effect.SAFE, "stopping")
+            if open_attempt:
+                self._stop(exchange, open_attempt, Verdict.TIMEOUT)
+        out, self._out = self._out, []
+        return out
 
     # The module -----------------------------------------------------------------------------------------
 
@@ -228,10 +225,7 @@
             case api.Refuse(id=rid, retry_after_ms=wait, reason=reason):
                 self._answer(self._rids[rid], STATUS[reason], reason.value, min(wait, self._max_wait))
             case api.Fail(id=rid):
-                exchange = self._rids[rid]
-                late = exchange.timed_out
-                self._answer(exchange, GATEWAY_TIMEOUT if late else GATEWAY_ERROR,
-                             "timed out" if late else "failed", None)
+                self._fail(self._rids[rid])
             case api.Count(name=name, units=units, expire_ms=expire_ms, proof=proof):
                 self._serial += 1
                 self._calls[self._serial] = name, self._now
@@ -341,10 +335,7 @@
         elif exchange.one_attempt:
             # Its body is partly gone: the module is not asked for a further attempt that cannot be made.
             harmless = exchange.routed.cls.effect is api.Effect.SAFE or verdict.never_ran
-            late = exchange.timed_out
-            status = UNAVAILABLE if harmless else GATEWAY_TIMEOUT if late else GATEWAY_ERROR
-            wait = exchange.routed.cls.aim_ms * 0.1 if harmless else None
-            self._answer(exchange, status, "spent" if harmless else "timed out" if late else "failed", wait)
+            self._give_up(exchange, harmless, "spent")
             self._outcome(exchange, attempt, verdict, True)
             self._forget(exchange)
         else:
@@ -360,6 +351,19 @@
         full = 0.0 if room is None else max(plan.burst - room, 0.0) / plan.rate * 1000.0
         return rate_limit(plan, room, full)
 
+    def _fail(self, exchange: Exchange) -> None:
+        """The final answer that promises nothing."""
+        late = exchange.timed_out
+        self._answer(exchange, GATEWAY_TIMEOUT if late else GATEWAY_ERROR, "timed out" if late else "failed", None)
+
+    def _give_up(self, exchange: Exchange, harmless: bool, reason: str) -> None:
+        """The final answer where the module is not asked for a further attempt: a refusal for `reason` if a retry
+        does no harm."""
+        if harmless:
+            self._answer(exchange, UNAVAILABLE, reason, exchange.routed.cls.aim_ms * 0.1)
+        else:
+            self._fail(exchange)
+
     def _answer(self, exchange: Exchange, status: int, reason: str, wait: float | None) -> None:
         """A final answer of the door's own."""
         headers, body = self._wording.own(reason, exchange.label, wait)
