--- a/bench/copies_rate.py
+++ b/bench/copies_rate.py
@@ -21,7 +21,7 @@
 
 from martenstep.counter.frames import Add, Frames, Hello, Status, Total, decode, encode
 from martenstep.lab.copies import Copies, started
-from martenstep.lab.play import free_ports
+from martenstep.lab.ports import held_ports
 
 MEMORY = "/dev/shm" if Path("/dev/shm").is_dir() else None  # for witnesses, as in service
 ASKERS = 4  # processes that ask, so that what is measured is not theirs
@@ -73,7 +73,7 @@
 
 @contextlib.asynccontextmanager
 async def _single(folder: Path) -> AsyncIterator[int]:
-    [port] = free_ports(1)
+    [port] = held_ports(1)
     file = folder / "single.txtpb"
     file.write_text(f'name: "c" port: {port} log {{ directory: "{folder}/log" }}')
     process, _ = await started(file)
--- a/martenstep/lab/copies.py
+++ b/martenstep/lab/copies.py
@@ -15,7 +15,7 @@
 from martenstep.counter.copied_service import identity_of
 from martenstep.counter.frames import Add, Frames, Hello, Read, Total, decode, encode
 from martenstep.counter.state import Counter
-from martenstep.lab.play import free_ports
+from martenstep.lab.ports import held_ports
 from martenstep.replication.store import Store
 from martenstep.storage.files import Disk
 
@@ -40,7 +40,7 @@
         """Witnesses stand in `memory`, as in service; without it beside the logs."""
         self.folder, self.count = folder, count
         witness = memory or folder
-        ports = free_ports(2 * count)
+        ports = held_ports(2 * count)
         self.ports = ports[count:]  # for doors
         (folder / "keys").write_text("ab" * 16 + "\n")
         self.ids = [identity_of(folder / f"log-{n}", witness / f"witness-{n}") for n in range(count)]
--- a/martenstep/lab/fleet/rig.py
+++ b/martenstep/lab/fleet/rig.py
@@ -14,7 +14,6 @@
 import secrets
 import shutil
 import signal
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -30,6 +29,7 @@
 from martenstep.lab.fleet.schedule import DISK, Member, Step, members_of, steps_of
 from martenstep.lab.fleet.wires import Wires
 from martenstep.lab.play import PlayError, Process
+from martenstep.lab.ports import held_ports
 from martenstep.members.gossip.core import Address
 from martenstep.replication.keeper import disk_identity
 from martenstep.standins.base import now_ms
@@ -174,8 +174,8 @@
 
     def _lay_out(self) -> None:
         """Who is where: each member at a loopback address of its own, and who comes later beside them."""
-        port = self._free_port()
-        self.ports = self._free_port(), self._free_port()
+        port, *others = held_ports(3)
+        self.ports = others[0], others[1]
         for number, member in enumerate(self._members):
             self._place(member.name, member, (f"127.0.1.{number + 1}", port))
             if number < self._schedule.copies and self._schedule.slots:
@@ -197,12 +197,6 @@
         folder.mkdir(exist_ok=True)
         self._places[name] = Place(name, member, address, folder)
 
-    @staticmethod
-    def _free_port() -> int:
-        with socket.socket() as one:
-            one.bind(("127.0.0.1", 0))
-            return int(one.getsockname()[1])
-
     def _raise_files(self) -> None:
         need = len(self._places) ** 2 * (FILES_A_PAIR + (FILES_OF_COPIES if self._schedule.slots else 0)) + 200
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/martenstep/lab/play.py
+++ b/martenstep/lab/play.py
@@ -8,7 +8,6 @@
 import os
 import shutil
 import signal
-import socket
 import sys
 import time
 from collections.abc import Callable
@@ -33,6 +32,7 @@
     zone_name,
 )
 from martenstep.lab.held import FOLDER, HeldFleet
+from martenstep.lab.ports import held_ports
 from martenstep.standins.base import Trace, now_ms, steer
 
 MOST_DOORS, MOST_SERVERS = 64, 200  # a process each
@@ -47,18 +47,6 @@
     """A process that did not start, or ended when it should not."""
 
 
-def free_ports(number: int) -> list[int]:
-    """Ports that nobody holds at the moment."""
-    sockets = [socket.socket() for _ in range(number)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [int(each.getsockname()[1]) for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
-
-
 class Process:
     """One child, from its ready line to its end."""
 
@@ -176,13 +164,13 @@
         self._logs: list[BinaryIO] = []
         self._counter_port = 0
         fleet = day.fleet
-        self._door_ports = free_ports(fleet.doors)
-        self._admin_ports = free_ports(fleet.doors)
-        self._server_ports = free_ports(fleet.servers)
+        self._door_ports = held_ports(fleet.doors)
+        self._admin_ports = held_ports(fleet.doors)
+        self._server_ports = held_ports(fleet.servers)
         self._doors: dict[int, Process] = {}
         self._servers: dict[int, Process] = {}
         held = day.HasField("held_by_doors")
-        self._held = HeldFleet(day, out, free_ports(3)) if held else None
+        self._held = HeldFleet(day, out, held_ports(3)) if held else None
         self._redis = self._store() if not held else None
         self._feed = self._process("feed", ["standin", "feed", "--lag-ms", str(fleet.feed_lag_ms),
                                             "--trace", str(out / "feed.jsonl")])
@@ -203,7 +191,7 @@
             return self._process("redis", ["standin", "redis", "--kind", kind,
                                            "--trace", str(self._out / "redis.jsonl")])
         if not self._counter_port:
-            [self._counter_port] = free_ports(1)
+            [self._counter_port] = held_ports(1)
         file = self._out / "counter.txtpb"
         file.write_text(f'name: "counter" port: {self._counter_port} log {{ directory: "{self._out / "counter"}" '
                         'segment_bytes: 1000000 snapshot_records: 20000 }', encoding="utf-8")
--- a/tests/test_counter_service.py
+++ b/tests/test_counter_service.py
@@ -301,8 +301,8 @@
     """The process is killed again and again; each add and each try counts once, and the totals are the doors' own."""
     async def test() -> None:
         from martenstep.lab.copies import started
-        from martenstep.lab.play import free_ports
-        [port] = free_ports(1)
+        from martenstep.lab.ports import held_ports
+        [port] = held_ports(1)
         file = tmp_path / "counter.txtpb"
         file.write_text(f'name: "c" port: {port} log {{ directory: "{tmp_path / "log"}" commit_ms: 1 '
                         'segment_bytes: 20000 snapshot_records: 900 }')
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from martenstep.lab.ports import held_ports
 from tests.node_rig import SETTINGS, raw, request, target
 from tests.socket_rig import Back, Peer, Script, run
 from tests.test_node_door import agent, counting, serves
@@ -97,12 +98,6 @@
         return answer
 
 
-def free_port() -> int:
-    """A port that nobody listens on."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
 def settings(deadline_ms: float = 500.0) -> dict[str, Any]:
     """Settings whose grace is short: a stop takes what the longest deadline and 0.7 s leave it."""
     return {**SETTINGS, "classes": [{**one, "deadline_ms": deadline_ms} for one in SETTINGS["classes"]]}
@@ -116,7 +111,7 @@
     ports = [await back.start() for back in backs]
     made = []
     for number in range(count):
-        path, port = tmp_path / f"n{number}.json", free_port()
+        path, port = tmp_path / f"n{number}.json", held_ports(1)[0]
         path.write_text(json.dumps(raw(**{
             "name": f"n{number}", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{ports[0]}",
             "counter": f"127.0.0.1:{ports[1]}", "settings": settings(),
@@ -323,7 +318,7 @@
 def test_idle_clients_that_fill_the_descriptors_keep_out_neither_dials_nor_clients(tmp_path: Path) -> None:
     """Discovery is down meanwhile; once it is back its list counts, the counter is asked and new clients are served."""
     async def test() -> None:
-        port, sockets = free_port(), 128
+        [port], sockets = held_ports(1), 128
         heads: list[str] = []
 
         async def notes(peer: Peer) -> None:
