Crossings read anew: a dial and a drain, a dial and its deadline, the end of half a request

A drain told while an attempt is being dialled: the dial may come up after the grace (dial_timeout_ms and drain_grace_ms are the customer's; 0.4 s and 0.5 s are on sites there are). Draining, gone, left out of a whole list. 2. Wording.expiry is its one place; Engine.restate words it anew after a dial. 3. Client.expire ends the door's half, `run` reads on and lingers, 1 s at most.

--- a/martenstep/door/driver.py
+++ b/martenstep/door/driver.py
@@ -193,6 +193,7 @@
             while not self.closing:
                 request = await self._head()
                 if request is None or self.closing:  # it came as the door told the client to go: nobody has it
+                    await self._linger()
                     break
                 await self._serve(request)
                 if not await self._next():
@@ -216,6 +217,13 @@
         elif now_left:
             self._driver.loop.call_later(self._driver.upstream.answer_idle_ms / 1000, self._cut, now_left)
 
+    def expire(self) -> None:
+        """Answer who is at half a request for too long.  What still comes of it is read: a close over it would
+        reset the connection, and the answer with it."""
+        self.plain(408, "head too slow")
+        self._end_half()  # `run` still reads, and lingers
+        self._driver.loop.call_later(LINGER_MS / 1000, self.writer.close)
+
     async def reject(self) -> None:
         """Answer where no place is: the request, if one comes, must not turn the close into a reset."""
         self.plain(503, "full house")
@@ -359,8 +367,7 @@
         if self.lingering or self.writer.transport.is_closing():
             return
         self.closing = self.lingering = True
-        with suppress(OSError, RuntimeError):
-            self.writer.write_eof()
+        self._end_half()
         read = 0
         with suppress(TimeoutError, OSError):
             async with asyncio.timeout(within_ms / 1000):
@@ -370,6 +377,10 @@
                         break
                     read += len(data)
 
+    def _end_half(self) -> None:
+        with suppress(OSError, RuntimeError):
+            self.writer.write_eof()
+
     async def pump(self, flight: Flight) -> None:
         """Read the body, as far as there is room for it."""
         body = flight.body
@@ -469,6 +480,11 @@
         self._sweeper = standing(self._sweep, self.failed)
         return int(sock.getsockname()[1])
 
+    @property
+    def listening(self) -> bool:
+        """Whether clients could come."""
+        return self._server is not None
+
     def failed(self, where: str, error: BaseException) -> None:
         """A standing task ended by what nobody expected, and is begun anew."""
         self._note("fault", {"where": where, "error": repr(error)})
@@ -596,8 +612,7 @@
                 if client.flight is not None or client.closing:
                     continue
                 if client.partial and now - client.since > self.listener.head_ms:
-                    client.plain(408, "head too slow")
-                    client.writer.close()
+                    client.expire()
                 elif not client.partial and now - client.since > self.listener.idle_ms:
                     client.close_idle()
             for flight in list(self.flights.values()):
@@ -776,6 +791,7 @@
         if flight.client.has_gone():  # while it was being made; nothing was written to it
             self.pool.put(upstream)
             return
+        self.engine.restate(now_ms(), action)
         self._begin(flight, action, upstream)
 
     def _begin(self, flight: Flight, action: ev.Open, upstream: Upstream) -> None:
--- a/martenstep/door/engine.py
+++ b/martenstep/door/engine.py
@@ -283,7 +283,12 @@
                                   parent, exchange.routed.cls.effect is api.Effect.KEYED)
         self._timer(min(self._now + self._connect_ms, exchange.deadline), self._at_unconnected, exchange.ticket, number)
         self._out.append(ev.Open(exchange.ticket, number, action.server, address, head.method, target, headers,
-                                 self._deliver_by(exchange)))
+                                 exchange.deadline, self._deliver_by(exchange)))
+
+    def restate(self, now: float, action: ev.Open) -> None:
+        """Have an attempt tell what is left by now, after its dial: a server that believes more works for nobody."""
+        name, value = self._wording.expiry(max(action.expires - now, 0.0))
+        action.headers = [(name, value) if pair[0] == name else pair for pair in action.headers]
 
     @staticmethod
     def _deliver_by(exchange: Exchange) -> float | None:
@@ -603,14 +608,17 @@
             self._tell(api.Left(exchange.rid))
         attempt = exchange.attempt
         if attempt and attempt.open and not attempt.written:
-            # No work of the server's that would be called off, and no failure of its: it is never begun, for nobody.
-            attempt.open = False
-            self._out.append(ev.Abandon(exchange.ticket, attempt.number))
-            self._outcome(exchange, attempt, Verdict.MOOT, True)
+            self._withdraw(exchange, attempt)
         elif attempt and attempt.open and (self._cancel or attempt.begun):
             self._stop(exchange, attempt, Verdict.CANCELLED)
         self._forget(exchange)
 
+    def _withdraw(self, exchange: Exchange, attempt: Attempt) -> None:
+        """Never begin an attempt that is not written: no work of its server's is called off, and no failure of its."""
+        attempt.open = False
+        self._out.append(ev.Abandon(exchange.ticket, attempt.number))
+        self._outcome(exchange, attempt, Verdict.MOOT, exchange.settled)
+
     def _body_dropped(self, event: ev.BodyDropped) -> None:
         exchange = self._exchanges.get(event.ticket)
         if exchange is not None:
@@ -697,6 +705,14 @@
         for server in event.servers:  # one that is gone comes back under another number, if at all
             if server.state is api.State.GONE:
                 self._addresses.pop(server.id, None)
+        taking = {server.id for server in event.servers if server.state is api.State.UP}
+        told = None if event.scope is api.Scope.FULL else {server.id for server in event.servers}
+        for exchange in list(self._exchanges.values()):
+            attempt = exchange.attempt
+            if (attempt and attempt.open and not attempt.written and attempt.server not in taking
+                    and (told is None or attempt.server in told)):
+                # Its dial may come up after the grace that a drain leaves: a dial may take longer than that.
+                self._withdraw(exchange, attempt)
 
     # Timers ---------------------------------------------------------------------------------------------
 
--- a/martenstep/door/events.py
+++ b/martenstep/door/events.py
@@ -153,6 +153,7 @@
     method: bytes
     target: bytes
     headers: Headers
+    expires: float  # the request's deadline
     by: float | None = None  # not to be delivered later than this
 
 
--- a/martenstep/door/parts.py
+++ b/martenstep/door/parts.py
@@ -99,6 +99,9 @@
                 left_ms: float, peer: str, traceparent: bytes, keyed: bool) -> Headers:
         """An attempt's headers."""
 
+    def expiry(self, left_ms: float) -> tuple[bytes, bytes]:
+        """The header among an attempt's that tells its server how long the door waits."""
+
     def passed(self, headers: Headers) -> Headers:
         """Of a server's answer what its client is told."""
 
--- a/martenstep/door/stages/outgoing.py
+++ b/martenstep/door/stages/outgoing.py
@@ -45,6 +45,10 @@
         """Of a service's answer what servers are told."""
         return [pair for pair in headers if pair[0] in self._auth_copies]
 
+    def expiry(self, left_ms: float) -> tuple[bytes, bytes]:
+        """In whole milliseconds."""
+        return self._deadline, f"{left_ms:.0f}".encode()
+
     def passed(self, headers: Headers) -> Headers:
         """Of a server's answer what its client is told: the request's id is the door's to tell."""
         return [pair for pair in only_ours(headers) if pair[0] != self._id]
@@ -57,7 +61,7 @@
                 left_ms: float, peer: str, traceparent: bytes, keyed: bool) -> Headers:
         """An attempt's headers: the client's, a service's (`more`), a hook's (`given`), and the door's own."""
         made = overlaid(self.kept(client) + more, given)
-        made += [*self.signed(label), (self._attempt, b"%d" % attempt), (self._deadline, f"{left_ms:.0f}".encode())]
+        made += [*self.signed(label), (self._attempt, b"%d" % attempt), self.expiry(left_ms)]
         if traceparent:
             made = [pair for pair in made if pair[0] != b"traceparent"]
             made.append((b"traceparent", traceparent))
--- a/martenstep/node/protocol.py
+++ b/martenstep/node/protocol.py
@@ -174,9 +174,13 @@
                 left_ms: float, peer: str, traceparent: bytes, keyed: bool) -> Headers:
         """The client's id and key, and how long the door will wait."""
         made = [pair for pair in client if pair[0] in PASSED]
-        made.append((DEADLINE, b"%d" % max(left_ms, 1)))
+        made.append(self.expiry(left_ms))
         return made
 
+    def expiry(self, left_ms: float) -> tuple[bytes, bytes]:
+        """In whole milliseconds; none left would read as no bound."""
+        return DEADLINE, b"%d" % max(left_ms, 1)
+
     def passed(self, headers: Headers) -> Headers:
         """The length alone, where it is told."""
         return [pair for pair in headers if pair[0] == LENGTH]
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -316,6 +316,82 @@
     run(test())
 
 
+def test_an_attempt_tells_what_is_left_after_its_dial(tmp_path: Path) -> None:
+    """It told what was left before: a server was given time that its client had spent already."""
+    heads: list[str] = []
+
+    async def notes(peer: Peer) -> None:
+        heads.append(await peer.head())
+        await peer.answer()
+
+    async def test() -> None:
+        async with place(tmp_path, notes, settings=settings(dial_timeout_ms=LONG_MS)) as door:
+            driver, real, came = door.node.driver, door.node.driver.pool.dial, list[float]()
+
+            async def late(address: tuple[str, int]) -> Any:
+                came.append(now_ms())  # the request is the door's by now
+                await until(lambda: now_ms() > came[0] + 300.0)
+                return await real(address)
+
+            driver.pool.dial = late  # type: ignore[method-assign]
+            assert (await door.ask(request(1, X_Expires_In_Ms="2000")))[0] == 200
+            [told] = [line for line in heads[0].splitlines() if line.startswith("x-expires-in-ms: ")]
+            assert 0 < int(told.partition(": ")[2]) <= 1700
+            assert heads[0].count("x-expires-in-ms") == 1
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["draining", "gone", "left out"])
+def test_a_dial_that_crosses_its_backends_drain_writes_nothing(tmp_path: Path, how: str) -> None:
+    """It may come up after the grace that a drain leaves; the request goes elsewhere at once."""
+    taken: list[str] = []
+
+    def backend(name: str) -> Callable[[Peer], Any]:
+        async def script(peer: Peer) -> None:
+            taken.append(f"{name} {(await peer.head()).split()[1]}")
+            await peer.answer(name)
+            await peer.rest()
+        return script
+
+    async def test() -> None:
+        async with place(tmp_path, backend("s-0"), backend("s-1"),
+                         settings=settings(dial_timeout_ms=LONG_MS)) as door:
+            node, gate, dialled = door.node, asyncio.Event(), list[tuple[str, int]]()
+            real = node.driver.pool.dial
+
+            async def late(address: tuple[str, int]) -> Any:
+                dialled.append(address)
+                if len(dialled) == 1:
+                    try:
+                        await gate.wait()
+                    except asyncio.CancelledError:
+                        node.driver.pool.release(address)
+                        raise
+                return await real(address)
+
+            node.driver.pool.dial = late  # type: ignore[method-assign]
+            peer = await door.client()
+            await peer.write(request(1))
+            await until(lambda: dialled)
+            ports = [port for _, port in sorted(node.engine.addresses.values())]
+            uids = {at[1]: uid for uid, number in node._follower._numbers.items()
+                    if (at := node._follower.addresses[number])}
+            left = dialled[0][1]
+            [stays] = set(ports) - {left}
+            if how == "left out":
+                told = {"rev": 2, "all": True, "targets": [target(uids[stays], stays)]}
+            else:
+                told = {"rev": 2, "all": False, "targets": [target(uids[left], left, state=how)]}
+            listed = node._follower.told(told)
+            assert listed is not None
+            node._listed(listed)
+            assert (await peer.response())[2].decode() == uids[stays] and len(taken) == 1
+            gate.set()
+            assert node.engine.verdicts == {"moot": 1, "ok": 1}, "held against nobody"
+            peer.close()
+    run(test())
+
+
 def test_a_client_that_takes_nothing_does_not_hold_its_place(tmp_path: Path) -> None:
     async def test() -> None:
         gate = asyncio.Event()
@@ -406,6 +482,26 @@
     run(test())
 
 
+@pytest.mark.parametrize("rest", ["", "the rest of its head\r\n\r\n", "x" * 30_000])
+def test_bytes_that_cross_the_end_of_half_a_request_do_not_eat_its_answer(tmp_path: Path, rest: str) -> None:
+    """Its time is over as more of it stands in the kernel: the close was a reset."""
+    async def test() -> None:
+        async with place(tmp_path, serves) as door:
+            raw = Raw(door.port, request(1)[:-4])
+            client = await only(door)
+            await until(lambda: client.partial)
+            raw.send(rest)  # and in this turn of the loop its time is over
+            client.expire()
+            peer = await raw.peer()
+            status, head, _ = await peer.response()
+            assert status == 408 and "connection: close" in head
+            assert await peer.reader.read() == b"", "an end, and no reset"
+            peer.close()
+            await until(lambda: not door.node.driver.clients)
+            assert not door.node.engine.answers, "nobody has it"
+    run(test())
+
+
 def test_half_a_request_is_waited_for_by_a_door_that_leaves(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(driver, "END_MS", 0.0)
 
