Lists that are asked for: calls are paced by the crowd at discovery; a start waits for list and address

Traced by a log of every call: 32 doors called each 1.5 s and after each change, and what had room for some 16 calls a second refused 110 of the first 143; a refused watch asked for the whole list again (Discovery._run set rev to None), those who had a list called again at once, and some doors had none from 0.2 to 22 s. Ruled out: the agent's way (n7, never refused, was told each change in time). Change: Pace, without I/O: in a crowd (refusals, late answers) watches are held for up to 20 s, and who has its answer pauses 0.3 to 2.4 s; an answer is waited for 2.1 s; a refused watch goes on from its revision. Agents that push are called as before. What did not help: longer watches alone (the doors that were refused stayed so); giving up later alone.

Start, both forced on sockets: clients of the process before come as soon as there is a listener, and were served by the old list while the agent's answer was on its way; the listener now comes after it, or 250 ms.

--- a/martenstep/node/config.py
+++ b/martenstep/node/config.py
@@ -79,6 +79,9 @@
     answer_ms: float  # all are answered, whatever is out
 
 
+NOTHING_TAKEN = DrainPlan(0.0, 0.0, 0.0)  # of a door that never listened
+
+
 def drain_plan_of(settings: api.Settings) -> DrainPlan:
     """By the longest deadline that the settings have, as the platform reckons when it kills."""
     longest = max((cls.deadline_ms for cls in settings.classes), default=GRACE_MOST_MS)
--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import json
 import math
@@ -23,7 +24,7 @@
 from martenstep.door.wires import now_ms
 from martenstep.interface import Scope, Verdict
 from martenstep.members.lists import Listed
-from martenstep.node.config import REST_MS, Config, ConfigError, drain_plan_of, load_config
+from martenstep.node.config import NOTHING_TAKEN, REST_MS, Config, ConfigError, drain_plan_of, load_config
 from martenstep.node.counter import Counter
 from martenstep.node.discovery import AGENT, SERVICE, Discovery, DiscoveryError, Follower
 from martenstep.node.pending_signals import PendingSignals
@@ -31,6 +32,9 @@
 from martenstep.tasks import standing
 
 FIRST_LIST_MS = 1500.0  # the door is ready without discovery's word after this: it has the list as last known
+# The one before it under this name and address may still be ending.  Who does not get it in this time never will, and
+# nine in ten must be ready within 10 s.
+IN_USE_MS, IN_USE_STEP_MS = 8000.0, 20.0
 TELL_S = 5.0  # between two lines of totals
 GC_THRESHOLD = 20_000  # allocations between two looks for cycles: the request path makes few
 
@@ -68,8 +72,8 @@
         self.driver = Driver(config.listener, config.upstream, self.engine, self._notes.note)
         self.driver.pool.rest_ms = REST_MS
         self._follower = Follower()
-        self._discovery = Discovery(config.discovery, self._follower, self._listed, self._notes.note,
-                                    SERVICE if config.settings.must_subscribe else AGENT)
+        self._timing = SERVICE if config.settings.must_subscribe else AGENT
+        self._discovery = Discovery(config.discovery, self._follower, self._listed, self._notes.note, self._timing)
         self._counter = (Counter(config.counter, self._counted, self.driver.failed) if config.counter is not None
                          else None)
         self._telling: asyncio.Task[None] | None = None
@@ -123,17 +127,18 @@
         self._first_list.set()  # who waits for it waits no more: the time until SIGKILL runs
 
     async def start(self) -> int:
-        """Bind everything, and be ready once there is a list; gives the listener's port."""
+        """Bind everything, and be ready once there is a list; gives the listener's port, 0 where the door was told to
+        end before it listened.  Raises ConfigError where it cannot listen."""
         self._known()
         if self._counter is not None:
             self.driver.add = self._counter.add
             self._counter.start()
         self._discovery.start()
-        port = await self.driver.start()
-        try:
-            async with asyncio.timeout(FIRST_LIST_MS / 1000):
-                await self._first_list.wait()
-        except TimeoutError:
+        # What the agent has counts as told from the first moment, and clients of the process before come as soon as
+        # there is a listener: none of them is to be served by the old list while the agent's answer is on its way.
+        await self._first_list_within(self._timing.hold_ms)
+        port = await self._listen()
+        if not await self._first_list_within(FIRST_LIST_MS - self._timing.hold_ms):
             self._notes.note("ready without discovery", {})
         if not self._stop.is_set():
             self._requests.ready = True
@@ -141,6 +146,27 @@
         self._telling = standing(self._tell, self.driver.failed)
         return port
 
+    async def _first_list_within(self, ms: float) -> bool:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(ms / 1000):
+                await self._first_list.wait()
+        return self._first_list.is_set()
+
+    async def _listen(self) -> int:
+        """Listen, once the address is free."""
+        until, told = now_ms() + IN_USE_MS, False
+        while not self._stop.is_set():
+            try:
+                return await self.driver.start()
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or now_ms() >= until:
+                    raise ConfigError(f"listen: {error}") from None
+                if not told:
+                    self._notes.note("address in use", {"error": str(error)})
+                told = True
+            await asyncio.sleep(IN_USE_STEP_MS / 1000)
+        return 0
+
     async def _tell(self) -> None:
         """What the operators see of a door at work: totals since its start."""
         while True:
@@ -154,7 +180,7 @@
         self._notes.note("stopping", {"open": self.engine.open})
         if self._telling is not None:
             self._telling.cancel()
-        plan = self.drain_plan
+        plan = self.drain_plan if self.driver.listening else NOTHING_TAKEN
         clean = await self.driver.stop(plan.answer_ms - plan.serve_ms, plan.accept_ms, plan.serve_ms)
         self._ended = True
         self._discovery.stop()
@@ -192,14 +218,14 @@
         if not path:
             raise ConfigError("NODE_CONFIG: not set")
         config = load_config(Path(path))
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD, 20, 50)
+
+        async def serve() -> None:
+            await Node(config, Path(path), pending).run()
+
+        asyncio.run(serve())
     except ConfigError as error:
         sys.stderr.write(f"martenstep: {path}: {error}\n")
         sys.exit(2)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD, 20, 50)
-
-    async def serve() -> None:
-        await Node(config, Path(path), pending).run()
-
-    asyncio.run(serve())
--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -10,15 +10,16 @@
 import asyncio
 import json
 import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from ipaddress import ip_address
 from typing import Any
 
-from martenstep.backoff import Backoff
 from martenstep.door.wire.asking import Asking
 from martenstep.door.wire.heads import AnswerHead, Fault
 from martenstep.door.wire.readers import Data, End
+from martenstep.door.wires import now_ms
 from martenstep.interface import Scope, Server, State
 from martenstep.members.lists import Listed
 from martenstep.node.config import ConfigError, address_of
@@ -26,36 +27,94 @@
 PATH = "/catalog/members"
 # The agent is on this machine and answers at once.  What it wrote to a connection that broke counts as told, and a
 # drain binds within a second of that: a new connection that is silent as well must be given up well before.
-WAIT_MS = 1500  # a watch is held for this at most: so long a list can be stale where its connection falls silent
+WAIT_MS = 1500.0  # a watch is held for this: so long a list can be stale where its connection falls silent
 WHOLE_MS = 1500.0  # an answer that comes byte by byte must be whole within this of the time it was due
 CONNECT_S = 0.2
+EASED = 0.8  # of a wait that grew in a crowd is left after an answer that was not late
 READ_BYTES = 65_536
 ANSWER_BYTES = 4 << 20  # of one answer: thousands of backends
+REFUSED = (429, 503)
 STATES = {"ready": State.UP, "draining": State.DRAINING, "gone": State.GONE}
 
 
 @dataclass(frozen=True, slots=True)
 class Timing:
-    """How long an answer is waited for, and how soon a call that failed is made again, in milliseconds."""
+    """How long answers are waited for, a watch is held and the next call not made, in milliseconds."""
 
-    timeout_ms: float  # an answer that is so late, or stands still for so long, is not coming
-    timeout_most_ms: float  # and up to this, twice as long after each that did not come
+    hold_ms: float  # so long nobody is served by the list as last had: what the service has may count as told
+    timeout_ms: float  # an answer that is so late is not coming, ...
+    still_ms: float  # ... nor is the rest of one that stands still for so long
     backoff_ms: float  # back-off, from this ...
     backoff_most_ms: float  # ... to this
+    wait_most_ms: float = WAIT_MS  # a watch is held for up to this in a crowd
+    pause_ms: float = 0.0  # and who has its answer pauses, from this ...
+    pause_most_ms: float = 0.0  # ... to this
+    crowded_ms: float = math.inf  # an answer that is so late tells of a crowd
 
 
 # Lists are pushed: the agent is on this machine and answers at once or, while discovery is down, not at all.
-AGENT = Timing(250.0, 250.0, 10.0, 250.0)
-# Lists are asked for: discovery itself answers, late or with a refusal where many ask at once.  Who gives up its
-# answers and asks anew at once keeps it there, and the list never comes.  A watch that fell silent is found, and three
-# calls wait, within the 6 s after which a change counts as told.
-SERVICE = Timing(500.0, 1500.0, 50.0, 800.0)
+AGENT = Timing(250.0, 250.0, 250.0, 10.0, 250.0)
+# Lists are asked for: one service of fixed capacity answers all front doors in turn, in up to 2 s, or refuses, and has
+# room for a call of each only once in some seconds.  Who gives up sooner than its queue is long never has an answer,
+# and what was given up counts as told.  A silent watch and then a silent list are given up, and a third call is made,
+# within the 6 s after which a change counts as told.  With the pause, its queue and a grace a list is not older.
+SERVICE = Timing(0.0, 2100.0, 450.0, 50.0, 600.0, 20_000.0, 300.0, 2400.0, 150.0)
+
+
+class Pace:
+    """How often one front door calls on discovery, learned from how its calls end.  No I/O.
+
+    Each call is work for a service that all front doors share.  Where calls are refused or answers come late, watches
+    are held for longer, and who has its answer pauses: the next turn is for those who have none."""
+
+    def __init__(self, timing: Timing, rng: random.Random | None = None) -> None:
+        self._timing, self._rng = timing, rng or random.Random()
+        self.wait_ms = WAIT_MS  # of the next watch
+        self._pause_ms = self._backoff_ms = 0.0  # before the draw
+        self._refused = False  # the call that is answered next, before
+
+    def answered(self, late_ms: float | None) -> float:
+        """A call was answered so long after it was due (none: a watch that had something to tell before); gives how
+        long to wait with the next one."""
+        told, late = self._timing, late_ms is not None and late_ms > self._timing.crowded_ms
+        if late:
+            self._crowded()
+        elif not self._refused:
+            self._pause_ms = self._pause_ms / 2 if self._pause_ms > told.pause_ms else 0.0
+            self.wait_ms = max(self.wait_ms * EASED, WAIT_MS)
+        self._backoff_ms, self._refused = 0.0, False
+        return self._drawn(self._pause_ms)
+
+    def refused(self) -> float:
+        """A call was refused; gives how long to wait."""
+        self._refused = True
+        self._crowded()
+        return self.failed()
+
+    def failed(self) -> float:
+        """A call broke or was given up; gives how long to wait."""
+        told = self._timing
+        self._backoff_ms = min(max(2 * self._backoff_ms, told.backoff_ms), told.backoff_most_ms)
+        return self._drawn(self._backoff_ms)
+
+    def _crowded(self) -> None:
+        told = self._timing
+        self.wait_ms = min(2 * self.wait_ms, told.wait_most_ms)
+        self._pause_ms = min(max(2 * self._pause_ms, told.pause_ms), told.pause_most_ms)
+
+    def _drawn(self, ms: float) -> float:
+        """All lose a shared thing at the same moment, and must not come back at the same moment."""
+        return ms * self._rng.uniform(0.5, 1.5)
 
 
 class DiscoveryError(Exception):
     """An answer that cannot be used."""
 
 
+class RefusedError(DiscoveryError):
+    """No answer for now: what was told before stands."""
+
+
 class Follower:
     """The list as told so far.  Servers are numbered as they are met: a uid says nothing of its server."""
 
@@ -65,9 +124,9 @@
         self._last = 0
         self.addresses: dict[int, tuple[str, int]] = {}
 
-    def target(self) -> str:
-        """What to ask next."""
-        return PATH if self.rev is None else f"{PATH}?after={self.rev}&wait_ms={WAIT_MS}"
+    def target(self, wait_ms: float = WAIT_MS) -> str:
+        """What to ask next; a watch may wait for so long."""
+        return PATH if self.rev is None else f"{PATH}?after={self.rev}&wait_ms={wait_ms:.0f}"
 
     def take(self, body: bytes) -> Listed | None:
         """Take in an answer; gives what it tells, none where nothing changed.  Raises DiscoveryError."""
@@ -130,7 +189,7 @@
 
     def __init__(self, address: tuple[str, int], follower: Follower, tell: Callable[[Listed], None],
                  note: Callable[[str, dict[str, Any]], None], timing: Timing = AGENT) -> None:
-        self._timing, self._timeout_ms = timing, timing.timeout_ms
+        self._timing, self._pace = timing, Pace(timing)
         self._address, self._follower, self._tell, self._note = address, follower, tell, note
         self._task: asyncio.Task[None] | None = None
         self._lost = False
@@ -155,66 +214,75 @@
             self._task.cancel()
 
     async def _run(self) -> None:
-        backoff = Backoff(self._timing.backoff_ms, self._timing.backoff_most_ms)
         while True:
+            gap_ms = self._timing.backoff_ms
             try:
-                await self._follow(backoff)
+                await self._follow()
+            except RefusedError as error:
+                self._gone(error)
+                gap_ms = self._pace.refused()
             except Exception as error:  # whatever it is: a list that is followed no more stays as it was for ever
-                expected = isinstance(error, OSError | DiscoveryError | Fault)
-                if not expected:
+                if not isinstance(error, OSError | DiscoveryError | Fault):
                     self._note("fault", {"where": "discovery", "error": repr(error)})
-                elif not self._lost:
-                    self._note("discovery lost", {"error": repr(error)})
-                if isinstance(error, TimeoutError) and self._follower.rev is None:  # not of a watch
-                    self._timeout_ms = min(2 * self._timeout_ms, self._timing.timeout_most_ms)
-                self._lost = True
+                    self._lost = True
+                self._gone(error)
+                gap_ms = self._pace.failed()
                 self._follower.rev = None  # a watch that broke is begun anew with the whole list
-            await asyncio.sleep(backoff.failed() / 1000)
+            await asyncio.sleep(gap_ms / 1000)
 
-    async def _follow(self, backoff: Backoff) -> None:
+    def _gone(self, error: Exception) -> None:
+        if not self._lost:
+            self._note("discovery lost", {"error": repr(error)})
+        self._lost = True
+
+    async def _follow(self) -> None:
         """Call over one connection until it breaks."""
         async with asyncio.timeout(CONNECT_S):
             reader, writer = await asyncio.open_connection(*self._address)
         host = f"{self._address[0]}:{self._address[1]}".encode()
-        wire = Asking()
+        wire, pace = Asking(), self._pace
         try:
             while True:
-                target = self._follower.target().encode()
-                writer.write(wire.head(b"GET", target, [(b"host", host)]) + wire.end())
-                wait_ms = self._timeout_ms if self._follower.rev is None else WAIT_MS + self._timeout_ms
-                async with asyncio.timeout((wait_ms + WHOLE_MS) / 1000):
-                    body = await self._answer(reader, wire, wait_ms)
+                watch, begun = self._follower.rev is not None, now_ms()
+                due_ms = pace.wait_ms if watch else 0.0
+                writer.write(wire.head(b"GET", self._follower.target(due_ms).encode(), [(b"host", host)]) + wire.end())
+                body = await self._answer(reader, wire, due_ms + self._timing.timeout_ms)
                 listed = self._follower.take(body)
-                backoff.succeeded()
-                self._timeout_ms = self._timing.timeout_ms
+                late_ms = now_ms() - begun - due_ms
+                gap_ms = pace.answered(late_ms if late_ms >= 0 else None)
                 if self._lost:
                     self._lost = False
                     self._note("discovery back", {"rev": self._follower.rev})
                 if listed is not None:
                     self._tell(listed)
+                if gap_ms:
+                    await asyncio.sleep(gap_ms / 1000)
                 if not wire.reusable:
                     return
         finally:
             writer.close()
 
     async def _answer(self, reader: asyncio.StreamReader, wire: Asking, wait_ms: float) -> bytes:
-        """One answer, whose first byte comes within `wait_ms` and which never stands still for longer than an answer
-        may be late; raises TimeoutError."""
+        """One answer, whose first byte comes within `wait_ms`, which never stands still for longer than `still_ms` and
+        is whole within WHOLE_MS more; raises TimeoutError."""
         body = bytearray()
-        while True:
-            event = wire.next()
-            if event is None:
-                async with asyncio.timeout(wait_ms / 1000):
-                    wire.feed(await reader.read(READ_BYTES))
-                wait_ms = self._timeout_ms
-            elif isinstance(event, AnswerHead):
-                if event.status != 200:
-                    raise DiscoveryError(f"answered {event.status}")
-            elif isinstance(event, Data):
-                body += event.data
-                if len(body) > ANSWER_BYTES:
-                    raise DiscoveryError(f"an answer of over {ANSWER_BYTES} bytes")
-            elif isinstance(event, End):
-                return bytes(body)
-            else:
-                raise DiscoveryError("the connection ended")
+        async with asyncio.timeout((wait_ms + WHOLE_MS) / 1000):
+            while True:
+                event = wire.next()
+                if event is None:
+                    async with asyncio.timeout(wait_ms / 1000):
+                        wire.feed(await reader.read(READ_BYTES))
+                    wait_ms = self._timing.still_ms
+                elif isinstance(event, AnswerHead):
+                    if event.status in REFUSED:
+                        raise RefusedError(f"answered {event.status}")
+                    if event.status != 200:
+                        raise DiscoveryError(f"answered {event.status}")
+                elif isinstance(event, Data):
+                    body += event.data
+                    if len(body) > ANSWER_BYTES:
+                        raise DiscoveryError(f"an answer of over {ANSWER_BYTES} bytes")
+                elif isinstance(event, End):
+                    return bytes(body)
+                else:
+                    raise DiscoveryError("the connection ended")
