Half-open brake by attempts out: by time alone it never let go where requests take a quarter of their aim

Traced by a line a second of what the brake goes by: the servers were used by 3 to 15%, every attempt was answered well, and each door sent one try in 2 s and refused the rest as overload, for good. Lines at fault: Gateway._unconfirmed refuses all that the counter did not confirm while Fleet.calm is false, but for Fleet.idle, one send in HALF_OPEN_MS; calm asks for a lower latency the fewer are sent (BLUR_CALM), so that once closed, one answer in 2 s at 0.2 to 0.4 of the aim kept it closed. Ruled out: the counter's calls lost or late by the door, the limit of attempts out (12, of which 0 to 5 were out), cold servers. What did not help: nothing else was tried; a threshold by the servers' unloaded latency was thought of and left, since that latency is learned under load as well.

--- a/martenstep/decide.py
+++ b/martenstep/decide.py
@@ -75,6 +75,7 @@
 LIMIT_DOWN = 0.5  # taken off for each answer while the latency is over the target
 CALM_OF_AIM = 0.42  # latency over all servers, in parts of each class's aim, up to which they count as quick
 BLUR_CALM = 0.65  # of it is taken off where servers are chosen by chance alone
+HALF_OPEN_PART = 0.25  # of the attempts that may be out: left to unconfirmed tries while answers are slow
 HALF_OPEN_MS = 2000.0  # without a send, one goes though answers were slow: else a recovery is never seen
 FIT_OF_AIM = 0.75  # a send must be expected to end within this part of the aim that is left
 OPEN_WAIT_MS = 100.0  # retry-after where the plan's limit of attempts out is reached: about one answer
@@ -508,8 +509,10 @@
         return self._latency <= CALM_OF_AIM * (1 - BLUR_CALM * self._blur(now))
 
     def idle(self, now: float) -> bool:
-        """Whether nothing was sent for so long that nothing new can be learnt: the breaker is half open."""
-        return now - self._sent_at > HALF_OPEN_MS
+        """Whether so little is out that nothing can be learnt without one more: the breaker is half open.  By
+        time alone it stayed so: one answer in 2 s is chance, and calm asks more of it the fewer are sent."""
+        few = self._rng.random() < HALF_OPEN_PART * (self._part() + self._more) - self._out
+        return few or now - self._sent_at > HALF_OPEN_MS
 
     def crowded(self) -> bool:
         """Whether all is out that may be, over all servers: one at each is hundreds over all gateways."""
