A log that nobody reads holds up no request; a move of discovery begins with no memory of a crowd

Need: read line by line. Notes.note writes to standard output with a blocking write: where whoever reads the log pauses, the pipe is full after some 64 KB and the event loop stands, with every request. Change: where standard output is a pipe it is polled first; one that has room has room for 4,096 bytes (PIPE_BUF), a longer line is told as cut, and a line without room is left out. Discovery.move: what was learned of the old service's crowd is nothing of the new one's; a new Pace. Moves are held by the tests there are.

--- a/martenstep/door/wires.py
+++ b/martenstep/door/wires.py
@@ -177,15 +177,16 @@
 def ready_for(writer: asyncio.StreamWriter, events: int) -> bool:
     """Whether the kernel tells one of `events` (select.POLL...) of a connection now, before the loop has looked."""
     number = writer.get_extra_info("socket").fileno()
-    return number < 0 or _told(number, events)
+    return number < 0 or polled(number, events)
 
 
 def pending(listener: socket.socket) -> bool:
     """Whether connections stand in a listener's queue."""
-    return listener.fileno() >= 0 and _told(listener.fileno(), select.POLLIN)
+    return listener.fileno() >= 0 and polled(listener.fileno(), select.POLLIN)
 
 
-def _told(number: int, events: int) -> bool:
+def polled(number: int, events: int) -> bool:
+    """Whether the kernel tells one of `events` of a descriptor now."""
     poll = select.poll()
     poll.register(number, events)
     return any(told & events for _, told in poll.poll(0))
--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -11,17 +11,19 @@
 import json
 import math
 import os
+import select
 import signal
+import stat
 import sys
 import time
 from contextlib import suppress
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 from martenstep.door.driver import Driver
 from martenstep.door.engine import Engine
 from martenstep.door.events import Counted
-from martenstep.door.wires import now_ms
+from martenstep.door.wires import now_ms, polled
 from martenstep.interface import Scope, Verdict
 from martenstep.members.lists import Listed
 from martenstep.node.config import NOTHING_TAKEN, REST_MS, Config, ConfigError, drain_plan_of, load_config
@@ -35,15 +37,23 @@
 # The one before it under this name and address may still be ending.  Who does not get it in this time never will, and
 # nine in ten must be ready within 10 s.
 IN_USE_MS, IN_USE_STEP_MS = 8000.0, 20.0
+LINE_BYTES = 4000  # a pipe that has room at all has room for 4,096 (POSIX: PIPE_BUF)
 TELL_S = 5.0  # between two lines of totals
 GC_THRESHOLD = 20_000  # allocations between two looks for cycles: the request path makes few
 
 
+def _piped(stream: TextIO) -> bool:
+    with suppress(OSError, ValueError):
+        return stat.S_ISFIFO(os.fstat(stream.fileno()).st_mode)
+    return False
+
+
 class Notes:
     """Lines for the operators on standard output, bounded: a log is not worth a request."""
 
     def __init__(self, most_a_second: int = 20) -> None:
         self._most, self._second, self._count = most_a_second, 0, 0
+        self._piped = _piped(sys.stdout)
 
     def note(self, event: str, fields: dict[str, Any]) -> None:
         """One line."""
@@ -52,9 +62,15 @@
             self._second, self._count = int(now), 0
         self._count += 1
         if self._count <= self._most:
+            told = {"t": round(now, 3), "event": event}
+            line = json.dumps({**told, **fields}, default=repr)
+            if len(line) > LINE_BYTES:
+                line = json.dumps({**told, "cut": line[:LINE_BYTES // 4]})
             with suppress(OSError, ValueError):  # whoever read the log has gone
-                sys.stdout.write(json.dumps({"t": round(now, 3), "event": event, **fields}, default=repr) + "\n")
-                sys.stdout.flush()
+                # Or reads no more, and the pipe is full: a write would wait, and with it every request.
+                if not self._piped or polled(sys.stdout.fileno(), select.POLLOUT):
+                    sys.stdout.write(line + "\n")
+                    sys.stdout.flush()
 
 
 class Node:
--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -202,7 +202,7 @@
         """Discovery is elsewhere from now on; its revisions there may be others."""
         if address == self._address:
             return
-        self._address = address
+        self._address, self._pace = address, Pace(self._timing)
         self._follower.rev = None
         if self._task is not None:  # else it has not been started: it will ask at the new address
             self._task.cancel()
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -6,12 +6,14 @@
 
 import asyncio
 import contextlib
+import fcntl
 import json
 import os
 import resource
 import signal
 import socket
 import sys
+import threading
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -351,6 +353,32 @@
     play(test())
 
 
+def test_a_log_that_nobody_reads_holds_up_no_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The write waited for room in the pipe, and with it the loop and every request."""
+    reading, writing = os.pipe()
+    fcntl.fcntl(writing, fcntl.F_SETPIPE_SZ, 4096)
+    with os.fdopen(writing, "w") as pipe, os.fdopen(reading, "rb") as log:  # a write that waits ends with the reader
+        monkeypatch.setattr(sys, "stdout", pipe)
+        notes = daemon.Notes(most_a_second=1000)
+        notes.note("read", {"long": "x" * 10_000})
+        line = json.loads(log.readline())
+        assert line["event"] == "read" and len(line["cut"]) < daemon.LINE_BYTES
+
+        def fill() -> None:
+            for number in range(100):
+                notes.note("unread", {"number": number, "more": "x" * 100})
+
+        filling = threading.Thread(target=fill, daemon=True)
+        filling.start()
+        filling.join(20.0)  # a bound that only ends a fault
+        assert not filling.is_alive()
+        os.set_blocking(reading, False)
+        got = [json.loads(text) for text in log.read().splitlines()]
+        assert 0 < len(got) < 100 and [one["number"] for one in got] == list(range(len(got)))
+        notes.note("read again", {})
+        assert json.loads(log.readline())["event"] == "read again"
+
+
 def test_doors_that_end_one_after_another_lose_nothing(tmp_path: Path) -> None:
     """Requests are out at a backend as each is told to end; a connection rests, and a move crosses the end."""
     async def test() -> None:
