A list that discovery refuses to renew for 6 s sends to nobody; no pause after an answer

After an answer the door paused for 0.3 to 3.6 s. The next call follows at once now; of those that are refused who has a new list comes again later (up to 3 s), so that the turn is still for those whose list is old. 2. Freshness, without I/O: the listed backends take nothing new then, requests are refused at once; ended by an answer, or by a watch that is held for longer than the queue. Where discovery says nothing it cannot be reached, and the list as had stands. 3. A restarted door served by the list that the process before had last had, of unknown age, while its first call stood in the queue. It waits for its first list, 2.2 s, and 6 s more while it is refused; nine in ten must be ready within 10. That is the price of not guessing.

--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -38,6 +38,8 @@
 # nine in ten must be ready within 10 s.
 IN_USE_MS, IN_USE_STEP_MS = 8000.0, 20.0
 LINE_BYTES = 4000  # a pipe that has room at all has room for 4,096 (POSIX: PIPE_BUF)
+# Refused, it waits for longer: without a list it could only refuse.  Nine in ten must be ready within 10 s.
+REFUSED_MS, REFUSED_STEP_MS = 6000.0, 50.0
 TELL_S = 5.0  # between two lines of totals
 GC_THRESHOLD = 20_000  # allocations between two looks for cycles: the request path makes few
 
@@ -98,7 +100,8 @@
         self._stop = asyncio.Event()
 
     def _listed(self, listed: Listed) -> None:
-        self._first_list.set()
+        if listed.scope is Scope.FULL:
+            self._first_list.set()
         before, started = dict(self.engine.addresses), self._started
         self._started = {server.id: server.started_ms for server in listed.servers} if listed.scope is Scope.FULL else {
             **started, **{server.id: server.started_ms for server in listed.servers}}
@@ -153,8 +156,11 @@
         # What the agent has counts as told from the first moment, and clients of the process before come as soon as
         # there is a listener: none of them is to be served by the old list while the agent's answer is on its way.
         await self._first_list_within(self._timing.hold_ms)
+        until = now_ms() + REFUSED_MS
+        while self._discovery.refused and now_ms() < until and not await self._first_list_within(REFUSED_STEP_MS):
+            pass  # the list as last had may be older than what counts as told
         port = await self._listen()
-        if not await self._first_list_within(FIRST_LIST_MS - self._timing.hold_ms):
+        if not await self._first_list_within(max(FIRST_LIST_MS - self._timing.hold_ms, 0.0)):
             self._notes.note("ready without discovery", {})
         if not self._stop.is_set():
             self._requests.ready = True
--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -12,7 +12,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from ipaddress import ip_address
 from typing import Any
 
@@ -23,11 +23,14 @@
 from martenstep.interface import Scope, Server, State
 from martenstep.members.lists import Listed
 from martenstep.node.config import ConfigError, address_of
+from martenstep.tasks import standing
 
 PATH = "/catalog/members"
 # The agent is on this machine and answers at once.  What it wrote to a connection that broke counts as told, and a
 # drain binds within a second of that: a new connection that is silent as well must be given up well before.
 WAIT_MS = 1500.0  # a watch is held for this: so long a list can be stale where its connection falls silent
+TOLD_MS = 6000.0  # what discovery has and does not tell, though it could be reached, counts as told after this
+QUEUE_MS = 2100.0  # a call that is taken is answered within this, if there is anything to tell
 WHOLE_MS = 1500.0  # an answer that comes byte by byte must be whole within this of the time it was due
 CONNECT_S = 0.2
 EASED = 0.8  # of a wait that grew in a crowd is left after an answer that was not late
@@ -39,16 +42,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Timing:
-    """How long answers are waited for, a watch is held and the next call not made, in milliseconds."""
+    """How long answers are waited for, a watch is held and a call that failed is not made again, in milliseconds."""
 
-    hold_ms: float  # so long nobody is served by the list as last had: what the service has may count as told
+    hold_ms: float  # so long nobody is served by the list as last had: what is not told yet may count as told
     timeout_ms: float  # an answer that is so late is not coming, ...
     still_ms: float  # ... nor is the rest of one that stands still for so long
     backoff_ms: float  # back-off, from this ...
     backoff_most_ms: float  # ... to this
     wait_most_ms: float = WAIT_MS  # a watch is held for up to this in a crowd
-    pause_ms: float = 0.0  # and who has its answer pauses, from this ...
-    pause_most_ms: float = 0.0  # ... to this
+    spare_ms: float = 0.0  # a list younger than this may wait for its turn
     crowded_ms: float = math.inf  # an answer that is so late tells of a crowd
 
 
@@ -57,39 +59,36 @@
 # Lists are asked for: one service of fixed capacity answers all front doors in turn, in up to 2 s, or refuses, and has
 # room for a call of each only once in some seconds.  Who gives up sooner than its queue is long never has an answer,
 # and what was given up counts as told.  A silent watch and then a silent list are given up, and a third call is made,
-# within the 6 s after which a change counts as told.  With the pause, its queue and a grace a list is not older.
-SERVICE = Timing(0.0, 2100.0, 450.0, 50.0, 600.0, 20_000.0, 300.0, 2400.0, 150.0)
+# within the 6 s after which a change counts as told.  Refused, a new list can wait for 6 s less its turn in the queue.
+SERVICE = Timing(QUEUE_MS + 100.0, QUEUE_MS, 450.0, 50.0, 600.0, 20_000.0, 4000.0, 150.0)
 
 
 class Pace:
     """How often one front door calls on discovery, learned from how its calls end.  No I/O.
 
     Each call is work for a service that all front doors share.  Where calls are refused or answers come late, watches
-    are held for longer, and who has its answer pauses: the next turn is for those who have none."""
+    are held for longer, and of those that are refused who has a new list comes again later: the next turn is for those
+    whose list is old.  After an answer the next call follows at once, since what it would have told counts as told."""
 
     def __init__(self, timing: Timing, rng: random.Random | None = None) -> None:
         self._timing, self._rng = timing, rng or random.Random()
         self.wait_ms = WAIT_MS  # of the next watch
-        self._pause_ms = self._backoff_ms = 0.0  # before the draw
+        self._backoff_ms = 0.0  # before the draw
         self._refused = False  # the call that is answered next, before
 
-    def answered(self, late_ms: float | None) -> float:
-        """A call was answered so long after it was due (none: a watch that had something to tell before); gives how
-        long to wait with the next one."""
-        told, late = self._timing, late_ms is not None and late_ms > self._timing.crowded_ms
-        if late:
+    def answered(self, late_ms: float | None) -> None:
+        """A call was answered so long after it was due (none: a watch that had something to tell before)."""
+        if late_ms is not None and late_ms > self._timing.crowded_ms:
             self._crowded()
         elif not self._refused:
-            self._pause_ms = self._pause_ms / 2 if self._pause_ms > told.pause_ms else 0.0
             self.wait_ms = max(self.wait_ms * EASED, WAIT_MS)
         self._backoff_ms, self._refused = 0.0, False
-        return self._drawn(self._pause_ms)
 
-    def refused(self) -> float:
-        """A call was refused; gives how long to wait."""
+    def refused(self, age_ms: float) -> float:
+        """A call was refused to a list that is so old; gives how long to wait."""
         self._refused = True
         self._crowded()
-        return self.failed()
+        return max(self.failed(), self._drawn(max(self._timing.spare_ms - age_ms, 0.0) / 2))
 
     def failed(self) -> float:
         """A call broke or was given up; gives how long to wait."""
@@ -98,15 +97,59 @@
         return self._drawn(self._backoff_ms)
 
     def _crowded(self) -> None:
-        told = self._timing
-        self.wait_ms = min(2 * self.wait_ms, told.wait_most_ms)
-        self._pause_ms = min(max(2 * self._pause_ms, told.pause_ms), told.pause_most_ms)
+        self.wait_ms = min(2 * self.wait_ms, self._timing.wait_most_ms)
 
     def _drawn(self, ms: float) -> float:
         """All lose a shared thing at the same moment, and must not come back at the same moment."""
         return ms * self._rng.uniform(0.5, 1.5)
 
 
+class Freshness:
+    """Until when the list may be gone by while discovery refuses calls.  No I/O; times in milliseconds.
+
+    What it refuses to tell counts as told TOLD_MS after it had it.  Whoever is refused for longer knows of no server
+    that it may still be sent to, nor does who starts with a list whose age nobody knows.  A watch that was taken and
+    not answered while the queue is long has nothing new to tell; one that broke proves nothing."""
+
+    def __init__(self) -> None:
+        self._fresh = -math.inf  # when the last answer came
+        self._refused = False  # since then
+        self._asked: float | None = None  # when the watch was begun that is out
+
+    @property
+    def refused(self) -> bool:
+        """Whether discovery could be reached since the last answer, and told nothing."""
+        return self._refused
+
+    def age_ms(self, now: float) -> float:
+        """How old the last answer is."""
+        return now - self._fresh
+
+    def asked(self, now: float, watch: bool) -> None:
+        """A call is made."""
+        self._asked = now if watch else None
+
+    def answered(self, now: float) -> None:
+        """And answered."""
+        self._fresh, self._refused, self._asked = now, False, None
+
+    def ended(self, refused: bool) -> None:
+        """And refused, or broken, or given up: of a service that says nothing nothing counts as told."""
+        self._refused, self._asked = self._refused or refused, None
+
+    def doubtful(self, now: float) -> bool:
+        """Whether what the list does not say may count as told."""
+        held = self._asked is not None and now - self._asked >= QUEUE_MS
+        return self._refused and not held and now - self._fresh >= TOLD_MS
+
+    def next_at(self, now: float) -> float | None:
+        """When that may change by time alone."""
+        if not self._refused:
+            return None
+        times = [self._fresh + TOLD_MS] + ([self._asked + QUEUE_MS] if self._asked is not None else [])
+        return min((at for at in times if at > now), default=None)
+
+
 class DiscoveryError(Exception):
     """An answer that cannot be used."""
 
@@ -123,6 +166,16 @@
         self._numbers: dict[str, int] = {}
         self._last = 0
         self.addresses: dict[int, tuple[str, int]] = {}
+        self._servers: dict[int, Server] = {}
+
+    def whole(self) -> Listed:
+        """The list as told so far."""
+        return Listed(Scope.FULL, tuple(self._servers.values()), dict(self.addresses))
+
+    def doubted(self) -> Listed:
+        """The same where any of them may be draining: none takes anything new."""
+        return Listed(Scope.CHANGES, tuple(replace(server, state=State.DRAINING) for server in self._servers.values()),
+                      dict(self.addresses))
 
     def target(self, wait_ms: float = WAIT_MS) -> str:
         """What to ask next; a watch may wait for so long."""
@@ -170,6 +223,8 @@
             return None
         self.addresses, self._last = addresses, last
         self._numbers = {uid: number for uid, number in numbers.items() if number in addresses}
+        self._servers |= {server.id: server for server in servers}
+        self._servers = {number: server for number, server in self._servers.items() if number in addresses}
         told_of = {server.id: addresses[server.id] for server in servers if server.id in addresses}
         return Listed(scope or (Scope.FULL if whole else Scope.CHANGES), tuple(servers), told_of)
 
@@ -193,10 +248,12 @@
         self._address, self._follower, self._tell, self._note = address, follower, tell, note
         self._task: asyncio.Task[None] | None = None
         self._lost = False
+        self._freshness, self._doubted = Freshness(), False
+        self._minding: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Ask from now on."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = standing(self._run, self._failed)
 
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere from now on; its revisions there may be others."""
@@ -208,10 +265,17 @@
             self._task.cancel()
             self.start()
 
+    @property
+    def refused(self) -> bool:
+        """Whether it could be reached since its last answer, and told nothing."""
+        return self._freshness.refused
+
     def stop(self) -> None:
         """Ask no more."""
         if self._task is not None:
             self._task.cancel()
+        if self._minding is not None:
+            self._minding.cancel()
 
     async def _run(self) -> None:
         while True:
@@ -219,21 +283,40 @@
             try:
                 await self._follow()
             except RefusedError as error:
-                self._gone(error)
-                gap_ms = self._pace.refused()
+                self._gone(error, refused=True)
+                gap_ms = self._pace.refused(self._freshness.age_ms(now_ms()))
             except Exception as error:  # whatever it is: a list that is followed no more stays as it was for ever
                 if not isinstance(error, OSError | DiscoveryError | Fault):
-                    self._note("fault", {"where": "discovery", "error": repr(error)})
+                    self._failed("discovery", error)
                     self._lost = True
                 self._gone(error)
                 gap_ms = self._pace.failed()
                 self._follower.rev = None  # a watch that broke is begun anew with the whole list
             await asyncio.sleep(gap_ms / 1000)
 
-    def _gone(self, error: Exception) -> None:
+    def _failed(self, where: str, error: BaseException) -> None:
+        self._note("fault", {"where": where, "error": repr(error)})
+
+    def _gone(self, error: Exception, refused: bool = False) -> None:
         if not self._lost:
             self._note("discovery lost", {"error": repr(error)})
         self._lost = True
+        self._freshness.ended(refused)
+        self._mind()
+
+    def _mind(self) -> None:
+        """Hold the list against what may count as told, now and when that may change."""
+        now = now_ms()
+        doubted = self._freshness.doubtful(now)
+        if doubted is not self._doubted:
+            self._note("list in doubt" if doubted else "list no longer in doubt", {})
+            self._tell(self._follower.doubted() if doubted else self._follower.whole())
+            self._doubted = doubted
+        if self._minding is not None:
+            self._minding.cancel()
+        at = self._freshness.next_at(now)
+        self._minding = (None if at is None else
+                         asyncio.get_running_loop().call_later((at - now) / 1000 + 0.001, self._mind))
 
     async def _follow(self) -> None:
         """Call over one connection until it breaks."""
@@ -246,17 +329,19 @@
                 watch, begun = self._follower.rev is not None, now_ms()
                 due_ms = pace.wait_ms if watch else 0.0
                 writer.write(wire.head(b"GET", self._follower.target(due_ms).encode(), [(b"host", host)]) + wire.end())
+                self._freshness.asked(begun, watch)
+                self._mind()
                 body = await self._answer(reader, wire, due_ms + self._timing.timeout_ms)
                 listed = self._follower.take(body)
+                self._freshness.answered(now_ms())
                 late_ms = now_ms() - begun - due_ms
-                gap_ms = pace.answered(late_ms if late_ms >= 0 else None)
+                pace.answered(late_ms if late_ms >= 0 else None)
                 if self._lost:
                     self._lost = False
                     self._note("discovery back", {"rev": self._follower.rev})
-                if listed is not None:
+                if listed is not None and not self._doubted:
                     self._tell(listed)
-                if gap_ms:
-                    await asyncio.sleep(gap_ms / 1000)
+                self._mind()  # which tells all of it, if it was in doubt
                 if not wire.reusable:
                     return
         finally:
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -786,6 +786,33 @@
     run(test())
 
 
+def test_a_door_whose_list_is_in_doubt_refuses_at_once_and_sends_nothing(tmp_path: Path) -> None:
+    """An attempt that is out stays so, and what it had learned of its backends is kept."""
+    async def test() -> None:
+        gate = asyncio.Event()
+
+        async def holds(peer: Peer) -> None:
+            while True:
+                await peer.head()
+                await gate.wait()
+                await peer.answer()
+
+        async with place(tmp_path, holds) as door:
+            node = door.node
+            peer = await door.client()
+            await peer.write(request(1))
+            await until(lambda: [flight for flight in node.driver.flights.values() if flight.upstream])
+            node._listed(node._follower.doubted())
+            status, head, _ = await door.ask(request(2))
+            assert status == 503 and "retry-after" in head and node.driver.counts["attempts"] == 1
+            gate.set()
+            assert (await peer.response())[0] == 200
+            node._listed(node._follower.whole())
+            assert (await door.ask(request(3)))[0] == 200 and node.driver.pool.opened <= 2
+            peer.close()
+    run(test())
+
+
 def test_a_move_before_the_start_makes_one_follower_of_the_new_agent(tmp_path: Path) -> None:
     """A signal that came early is obeyed before the door asks for the first time."""
     async def test() -> None:
