A watch on a discovery that is asked is held for longer than its queue is

Traced by a line for each call: doors n6, n20 and n23 had a watch since 0.22 s that was over at 1.717 s, 20 ms before the change came to be told; their next one, of 1.5 s again, was answered empty at 3.218 s and the one after that with the change at 3.524 s, while n7, whose first watch was over at 1.726 s, had the change at 1.839 s. In a crowd a call waits for its turn for up to 2 s, and a watch that is over by then says nothing. Line at fault: WAIT_MS of 1.5 s for every kind of discovery. Ruled out: refusals (none of the four doors that could have sent had one). Change: Timing.wait_ms; 3.5 s where lists are asked for, 1.5 s as before where they are pushed. A silent watch is still given up within 6 s.

--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -28,7 +28,6 @@
 PATH = "/catalog/members"
 # The agent is on this machine and answers at once.  What it wrote to a connection that broke counts as told, and a
 # drain binds within a second of that: a new connection that is silent as well must be given up well before.
-WAIT_MS = 1500.0  # a watch is held for this: so long a list can be stale where its connection falls silent
 TOLD_MS = 6000.0  # what discovery has and does not tell, though it could be reached, counts as told after this
 QUEUE_MS = 2100.0  # a call that is taken is answered within this, if there is anything to tell
 WHOLE_MS = 1500.0  # an answer that comes byte by byte must be whole within this of the time it was due
@@ -47,20 +46,22 @@
     hold_ms: float  # so long nobody is served by the list as last had: what is not told yet may count as told
     timeout_ms: float  # an answer that is so late is not coming, ...
     still_ms: float  # ... nor is the rest of one that stands still for so long
+    wait_ms: float  # a watch is held for this: so long a list can be stale where its connection falls silent
     backoff_ms: float  # back-off, from this ...
     backoff_most_ms: float  # ... to this
-    wait_most_ms: float = WAIT_MS  # a watch is held for up to this in a crowd
+    wait_most_ms: float = 0.0  # a watch is held for up to this in a crowd
     spare_ms: float = 0.0  # a list younger than this may wait for its turn
     crowded_ms: float = math.inf  # an answer that is so late tells of a crowd
 
 
 # Lists are pushed: the agent is on this machine and answers at once or, while discovery is down, not at all.
-AGENT = Timing(250.0, 250.0, 250.0, 10.0, 250.0)
+AGENT = Timing(250.0, 250.0, 250.0, 1500.0, 10.0, 250.0)
 # Lists are asked for: one service of fixed capacity answers all front doors in turn, in up to 2 s, or refuses, and has
 # room for a call of each only once in some seconds.  Who gives up sooner than its queue is long never has an answer,
-# and what was given up counts as told.  A silent watch and then a silent list are given up, and a third call is made,
-# within the 6 s after which a change counts as told.  Refused, a new list can wait for 6 s less its turn in the queue.
-SERVICE = Timing(QUEUE_MS + 100.0, QUEUE_MS, 450.0, 50.0, 600.0, 20_000.0, 4000.0, 150.0)
+# and what was given up counts as told.  A watch waits for its turn, too: one that is over before then says nothing, and
+# what changed meanwhile counts as told.  A silent one is given up within the 6 s after which a change counts as told.
+# Refused, a new list can wait for 6 s less its turn in the queue.
+SERVICE = Timing(QUEUE_MS + 100.0, QUEUE_MS, 450.0, 3500.0, 50.0, 600.0, 20_000.0, 4000.0, 150.0)
 
 
 class Pace:
@@ -72,7 +73,7 @@
 
     def __init__(self, timing: Timing, rng: random.Random | None = None) -> None:
         self._timing, self._rng = timing, rng or random.Random()
-        self.wait_ms = WAIT_MS  # of the next watch
+        self.wait_ms = timing.wait_ms  # of the next watch
         self._backoff_ms = 0.0  # before the draw
         self._refused = False  # the call that is answered next, before
 
@@ -81,7 +82,7 @@
         if late_ms is not None and late_ms > self._timing.crowded_ms:
             self._crowded()
         elif not self._refused:
-            self.wait_ms = max(self.wait_ms * EASED, WAIT_MS)
+            self.wait_ms = max(self.wait_ms * EASED, self._timing.wait_ms)
         self._backoff_ms, self._refused = 0.0, False
 
     def refused(self, age_ms: float) -> float:
@@ -97,7 +98,7 @@
         return self._drawn(self._backoff_ms)
 
     def _crowded(self) -> None:
-        self.wait_ms = min(2 * self.wait_ms, self._timing.wait_most_ms)
+        self.wait_ms = max(min(2 * self.wait_ms, self._timing.wait_most_ms), self._timing.wait_ms)
 
     def _drawn(self, ms: float) -> float:
         """All lose a shared thing at the same moment, and must not come back at the same moment."""
@@ -177,7 +178,7 @@
         return Listed(Scope.CHANGES, tuple(replace(server, state=State.DRAINING) for server in self._servers.values()),
                       dict(self.addresses))
 
-    def target(self, wait_ms: float = WAIT_MS) -> str:
+    def target(self, wait_ms: float = 0.0) -> str:
         """What to ask next; a watch may wait for so long."""
         return PATH if self.rev is None else f"{PATH}?after={self.rev}&wait_ms={wait_ms:.0f}"
 
