Tests of what is left after a dial and of an address in use rest on no clock of the machine

A request of 2 s that is held for 0.3 s would have ended on a machine that stands for 1.7 s, and daemon.main in the tests' own process froze its collector. Change: a deadline of 60 s; the collector is a mock there. What is asserted is as strict; the mutant of the first fails still. Seen: both files pass.

--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -325,7 +325,9 @@
         await peer.answer()
 
     async def test() -> None:
-        async with place(tmp_path, notes, settings=settings(dial_timeout_ms=LONG_MS)) as door:
+        patient = {**settings(dial_timeout_ms=LONG_MS),
+                   "classes": [{**one, "deadline_ms": LONG_MS} for one in SETTINGS["classes"]]}
+        async with place(tmp_path, notes, settings=patient) as door:
             driver, real, came = door.node.driver, door.node.driver.pool.dial, list[float]()
 
             async def late(address: tuple[str, int]) -> Any:
@@ -334,9 +336,9 @@
                 return await real(address)
 
             driver.pool.dial = late  # type: ignore[method-assign]
-            assert (await door.ask(request(1, X_Expires_In_Ms="2000")))[0] == 200
+            assert (await door.ask(request(1, X_Expires_In_Ms=f"{LONG_MS:.0f}")))[0] == 200
             [told] = [line for line in heads[0].splitlines() if line.startswith("x-expires-in-ms: ")]
-            assert 0 < int(told.partition(": ")[2]) <= 1700
+            assert 0 < int(told.partition(": ")[2]) <= LONG_MS - 300
             assert heads[0].count("x-expires-in-ms") == 1
     run(test())
 
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -17,6 +17,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 
@@ -364,6 +365,7 @@
             assert [json.loads(line)["event"] for line in capsys.readouterr().out.splitlines()][-1] == "stopped"
             return
         monkeypatch.setenv("NODE_CONFIG", str(path))
+        monkeypatch.setattr(daemon, "gc", Mock())  # the tests' own process keeps its collector
         with pytest.raises(SystemExit) as ended:
             daemon.main()
         error = capsys.readouterr().err
