--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -111,17 +111,17 @@
 
     What it refuses to tell counts as told `told_ms` after it had it.  Whoever is refused for longer knows of no server
     that it may still be sent to, nor does who starts with a list whose age nobody knows.  A watch that was taken and
-    not answered while the queue is long has nothing new to tell; one that broke proves nothing."""
+    not answered while the queue is long has nothing new to tell."""
 
     def __init__(self, told_ms: float) -> None:
         self._told_ms = told_ms
         self._fresh = -math.inf  # when the last answer came
-        self._refused = False  # since then
+        self._refused = False  # by the last call since then
         self._asked: float | None = None  # when the watch was begun that is out
 
     @property
     def refused(self) -> bool:
-        """Whether discovery could be reached since the last answer, and told nothing."""
+        """Whether discovery could be reached at the last call, and told nothing."""
         return self._refused
 
     def age_ms(self, now: float) -> float:
@@ -137,8 +137,8 @@
         self._fresh, self._refused, self._asked = now, False, None
 
     def ended(self, refused: bool) -> None:
-        """And refused, or broken, or given up: of a service that says nothing nothing counts as told."""
-        self._refused, self._asked = self._refused or refused, None
+        """And refused, or broken, or given up: what a service has that cannot be reached does not count as told."""
+        self._refused, self._asked = refused, None
 
     def doubtful(self, now: float) -> bool:
         """Whether what the list does not say may count as told."""
@@ -272,7 +272,7 @@
 
     @property
     def refused(self) -> bool:
-        """Whether it could be reached since its last answer, and told nothing."""
+        """Whether it could be reached at the last call, and told nothing."""
         return self._freshness.refused
 
     def stop(self) -> None:
