--- a/martenstep/node/config.py
+++ b/martenstep/node/config.py
@@ -33,7 +33,6 @@
 TAIL_MS = 800.0  # and before that no more is taken: most answers come sooner
 LEAVE_MS = 600.0  # after SIGTERM new connections come for up to 0.4 s, ...
 LEAVE_LEAST_MS = 450.0  # ... and so long at least they are accepted, however short the grace
-DRAIN_GRACE_MS = 1000.0  # after a drain was told, where the settings do not say
 MOST_FIGURE = 1e30  # of any setting: beyond it, sums and products are none
 MARGIN_MS = 8.0  # a request ends so much before its client's time is up: about the way of its answer
 
@@ -104,7 +103,6 @@
     seed: int
     settings: api.Settings
     max_open: int
-    drain_grace_ms: float
 
 
 def address_of(raw: Any, field: str) -> tuple[str, int]:
@@ -202,7 +200,6 @@
         seed=number,
         settings=settings,
         max_open=int(_figure(policy, "settings.policy_limits.max_open", 20_000, 1)),
-        drain_grace_ms=_figure(told["rules"], "settings.rules.drain_grace_ms", DRAIN_GRACE_MS, 0.0),
     )
 
 
--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -91,8 +91,7 @@
         self.driver.pool.rest_ms = REST_MS
         self._follower = Follower()
         self._timing = SERVICE if config.settings.must_subscribe else AGENT
-        self._discovery = Discovery(config.discovery, self._follower, self._listed, self._notes.note, self._timing,
-                                    config.drain_grace_ms)
+        self._discovery = Discovery(config.discovery, self._follower, self._listed, self._notes.note, self._timing)
         self._counter = (Counter(config.counter, self._counted, self.driver.failed) if config.counter is not None
                          else None)
         self._telling: asyncio.Task[None] | None = None
--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -28,8 +28,7 @@
 PATH = "/catalog/members"
 # The agent is on this machine and answers at once.  What it wrote to a connection that broke counts as told, and a
 # drain binds within a second of that: a new connection that is silent as well must be given up well before.
-TOLD_MS = 6000.0  # what discovery has and does not tell, though it could be reached, counts as told after this at most
-GRACES = 2.0  # and some of it as it comes to be: a list that is refused for so many graces of a drain is in doubt
+TOLD_MS = 6000.0  # what discovery has and does not tell, though it could be reached, counts as told after this
 QUEUE_MS = 2100.0  # a call that is taken is answered within this, if there is anything to tell
 WHOLE_MS = 1500.0  # an answer that comes byte by byte must be whole within this of the time it was due
 CONNECT_S = 0.2
@@ -109,12 +108,11 @@
 class Freshness:
     """Until when the list may be gone by while discovery refuses calls.  No I/O; times in milliseconds.
 
-    What it refuses to tell counts as told `told_ms` after it had it.  Whoever is refused for longer knows of no server
+    What it refuses to tell counts as told TOLD_MS after it had it.  Whoever is refused for longer knows of no server
     that it may still be sent to, nor does who starts with a list whose age nobody knows.  A watch that was taken and
     not answered while the queue is long has nothing new to tell."""
 
-    def __init__(self, told_ms: float) -> None:
-        self._told_ms = told_ms
+    def __init__(self) -> None:
         self._fresh = -math.inf  # when the last answer came
         self._refused = False  # by the last call since then
         self._asked: float | None = None  # when the watch was begun that is out
@@ -143,13 +141,13 @@
     def doubtful(self, now: float) -> bool:
         """Whether what the list does not say may count as told."""
         held = self._asked is not None and now - self._asked >= QUEUE_MS
-        return self._refused and not held and now - self._fresh >= self._told_ms
+        return self._refused and not held and now - self._fresh >= TOLD_MS
 
     def next_at(self, now: float) -> float | None:
         """When that may change by time alone."""
         if not self._refused:
             return None
-        times = [self._fresh + self._told_ms] + ([self._asked + QUEUE_MS] if self._asked is not None else [])
+        times = [self._fresh + TOLD_MS] + ([self._asked + QUEUE_MS] if self._asked is not None else [])
         return min((at for at in times if at > now), default=None)
 
 
@@ -246,14 +244,12 @@
     """Follows the agent over a socket."""
 
     def __init__(self, address: tuple[str, int], follower: Follower, tell: Callable[[Listed], None],
-                 note: Callable[[str, dict[str, Any]], None], timing: Timing = AGENT,
-                 drain_grace_ms: float = math.inf) -> None:
-        """`drain_grace_ms`: what is sent so long after a drain was told breaks a promise."""
+                 note: Callable[[str, dict[str, Any]], None], timing: Timing = AGENT) -> None:
         self._timing, self._pace = timing, Pace(timing)
         self._address, self._follower, self._tell, self._note = address, follower, tell, note
         self._task: asyncio.Task[None] | None = None
         self._lost = False
-        self._freshness, self._doubted = Freshness(min(GRACES * drain_grace_ms, TOLD_MS)), False
+        self._freshness, self._doubted = Freshness(), False
         self._minding: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -499,7 +499,7 @@
 
 
 def test_a_list_that_is_refused_for_too_long_is_in_doubt() -> None:
-    fresh = Freshness(TOLD_MS)
+    fresh = Freshness()
     fresh.answered(0.0)
     fresh.asked(100.0, watch=True)
     assert not fresh.doubtful(1e9) and fresh.next_at(100.0) is None, "discovery that is silent tells nothing"
@@ -521,21 +521,9 @@
     assert not fresh.doubtful(1e9) and fresh.next_at(taken + 3.0) is None
 
 
-def test_a_list_is_refused_for_two_graces_of_a_drain_and_6_s_at_most() -> None:
-    """Of those that a service refuses the users' bench holds a few as told as a change comes to be."""
-    async def test() -> None:
-        for grace_ms, told_ms in ((500.0, 1000.0), (1500.0, 3000.0), (5000.0, TOLD_MS)):
-            made = Discovery(("127.0.0.1", 1), Follower(), lambda listed: None, lambda event, fields: None, SERVICE,
-                             grace_ms)
-            made._freshness.answered(0.0)
-            made._freshness.ended(refused=True)
-            assert not made._freshness.doubtful(told_ms - 1) and made._freshness.doubtful(told_ms)
-    run(test())
-
-
 def test_a_list_of_unknown_age_is_in_doubt_once_discovery_refuses_another() -> None:
     """Broken on a site of our own: a restarted door sent by the list that its process before had last had."""
-    fresh = Freshness(TOLD_MS)
+    fresh = Freshness()
     fresh.asked(0.0, watch=False)
     assert not fresh.doubtful(1e9) and not fresh.refused, "where it says nothing, there is nothing else to go by"
     fresh.ended(refused=True)
