Pace calls on Backoff, which the project had; Freshness says by one field whether it was refused

Need: read again. Pace doubled and drew its waits by itself, as martenstep.backoff does; Freshness had a property for its own field and Discovery another. Change: a Backoff with the same draws in the same order; a plain field. Behaviour and tests are as before. Seen: lint, types and 241 tests of the platform's door pass.

--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -16,6 +16,7 @@
 from ipaddress import ip_address
 from typing import Any
 
+from martenstep.backoff import Backoff
 from martenstep.door.wire.asking import Asking
 from martenstep.door.wire.heads import AnswerHead, Fault
 from martenstep.door.wire.readers import Data, End
@@ -74,7 +75,7 @@
     def __init__(self, timing: Timing, rng: random.Random | None = None) -> None:
         self._timing, self._rng = timing, rng or random.Random()
         self.wait_ms = timing.wait_ms  # of the next watch
-        self._backoff_ms = 0.0  # before the draw
+        self._backoff = Backoff(timing.backoff_ms, timing.backoff_most_ms, self._rng)
         self._refused = False  # the call that is answered next, before
 
     def answered(self, late_ms: float | None) -> None:
@@ -83,27 +84,23 @@
             self._crowded()
         elif not self._refused:
             self.wait_ms = max(self.wait_ms * EASED, self._timing.wait_ms)
-        self._backoff_ms, self._refused = 0.0, False
+        self._backoff.succeeded()
+        self._refused = False
 
     def refused(self, age_ms: float) -> float:
         """A call was refused to a list that is so old; gives how long to wait."""
         self._refused = True
         self._crowded()
-        return max(self.failed(), self._drawn(max(self._timing.spare_ms - age_ms, 0.0) / 2))
+        spare_ms = max(self._timing.spare_ms - age_ms, 0.0) / 2  # drawn, too: all were refused at the same moment
+        return max(self.failed(), spare_ms * self._rng.uniform(0.5, 1.5))
 
     def failed(self) -> float:
         """A call broke or was given up; gives how long to wait."""
-        told = self._timing
-        self._backoff_ms = min(max(2 * self._backoff_ms, told.backoff_ms), told.backoff_most_ms)
-        return self._drawn(self._backoff_ms)
+        return self._backoff.failed()
 
     def _crowded(self) -> None:
         self.wait_ms = max(min(2 * self.wait_ms, self._timing.wait_most_ms), self._timing.wait_ms)
 
-    def _drawn(self, ms: float) -> float:
-        """All lose a shared thing at the same moment, and must not come back at the same moment."""
-        return ms * self._rng.uniform(0.5, 1.5)
-
 
 class Freshness:
     """Until when the list may be gone by while discovery refuses calls.  No I/O; times in milliseconds.
@@ -114,14 +111,9 @@
 
     def __init__(self) -> None:
         self._fresh = -math.inf  # when the last answer came
-        self._refused = False  # by the last call since then
+        self.refused = False  # by the last call since then: it could be reached, and told nothing
         self._asked: float | None = None  # when the watch was begun that is out
 
-    @property
-    def refused(self) -> bool:
-        """Whether discovery could be reached at the last call, and told nothing."""
-        return self._refused
-
     def age_ms(self, now: float) -> float:
         """How old the last answer is."""
         return now - self._fresh
@@ -132,20 +124,20 @@
 
     def answered(self, now: float) -> None:
         """And answered."""
-        self._fresh, self._refused, self._asked = now, False, None
+        self._fresh, self.refused, self._asked = now, False, None
 
     def ended(self, refused: bool) -> None:
         """And refused, or broken, or given up: what a service has that cannot be reached does not count as told."""
-        self._refused, self._asked = refused, None
+        self.refused, self._asked = refused, None
 
     def doubtful(self, now: float) -> bool:
         """Whether what the list does not say may count as told."""
         held = self._asked is not None and now - self._asked >= QUEUE_MS
-        return self._refused and not held and now - self._fresh >= TOLD_MS
+        return self.refused and not held and now - self._fresh >= TOLD_MS
 
     def next_at(self, now: float) -> float | None:
         """When that may change by time alone."""
-        if not self._refused:
+        if not self.refused:
             return None
         times = [self._fresh + TOLD_MS] + ([self._asked + QUEUE_MS] if self._asked is not None else [])
         return min((at for at in times if at > now), default=None)
