Crossings: one backend whose answers wait for a gate, in place of two copies

Need: read again, the test of a list in doubt had written out the script of another. Change: holding(gate), called by both; assertions as before.

--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -24,7 +24,7 @@
 from martenstep.node.config import REST_MS, DrainPlan
 from martenstep.node.discovery import Discovery, Follower
 from tests.node_rig import SETTINGS, request, target
-from tests.socket_rig import Back, Peer, run
+from tests.socket_rig import Back, Peer, Script, run
 from tests.test_node_door import Place, place, serves
 
 LONG_MS = 60_000.0  # longer than any test runs
@@ -46,6 +46,16 @@
         return Peer(*await asyncio.open_connection(sock=self.socket))
 
 
+def holding(gate: asyncio.Event) -> Script:
+    """A backend whose answers wait for the gate."""
+    async def script(peer: Peer) -> None:
+        while True:
+            await peer.head()
+            await gate.wait()
+            await peer.answer()
+    return script
+
+
 async def until(test: Callable[[], Any]) -> None:
     """Wait for something that must come to be."""
     while not test():
@@ -726,13 +736,7 @@
     async def test() -> None:
         gate = asyncio.Event()
 
-        async def holds(peer: Peer) -> None:
-            while True:
-                await peer.head()
-                await gate.wait()
-                await peer.answer()
-
-        async with place(tmp_path, holds) as door:
+        async with place(tmp_path, holding(gate)) as door:
             node, pool = door.node, door.node.driver.pool
             peer = await door.client()
             await peer.write(request(1))
@@ -793,13 +797,7 @@
     async def test() -> None:
         gate = asyncio.Event()
 
-        async def holds(peer: Peer) -> None:
-            while True:
-                await peer.head()
-                await gate.wait()
-                await peer.answer()
-
-        async with place(tmp_path, holds) as door:
+        async with place(tmp_path, holding(gate)) as door:
             node = door.node
             peer = await door.client()
             await peer.write(request(1))
