--- a/review/rig.py
+++ b/review/rig.py
@@ -32,7 +32,7 @@
 
 
 class Record:
-    """The file `record.txt` of a case: one line for each thing that was sent, answered or run."""
+    """The record of a case: one line for each thing that was sent, answered or run."""
 
     def __init__(self, path: Path) -> None:
         """Begin an empty file."""
@@ -241,9 +241,9 @@
     return ["/bin/sh", "-c", deploy["run"]]
 
 
-def play(case: Callable[[Path, Record, bool], Awaitable[bool]], folder: Path) -> int:
-    """Run a case in a temporary folder; `case` returns whether the rule held.  Returns the exit code."""
-    record = Record(folder / "record.txt")
+def play(case: Callable[[Path, Record, bool], Awaitable[bool]], record_file: Path) -> int:
+    """Run a case in a temporary folder, and return the exit code; `case` returns whether the rule held."""
+    record = Record(record_file)
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("start", trouble=int(with_trouble))
 
