--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -469,10 +469,10 @@
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def set(self, number: int, port: int, state: str = "up") -> int:
+    def set(self, number: int, port: int, state: str = "up", zone: str = "room-a") -> int:
         """Add or change an entry; return the index of the change."""
         self.index += 1
-        entry = {"id": number, "host": HOST, "port": port, "zone": "room-a", "kind": "standard", "state": state}
+        entry = {"id": number, "host": HOST, "port": port, "zone": zone, "kind": "standard", "state": state}
         self.servers[number] = entry
         if state == "gone":
             del self.servers[number]
