--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -265,19 +265,19 @@
         self.totals: dict[bytes, tuple[float, float]] = {}
         self.call_s = call_s
         self.silent = False
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._missed: dict[asyncio.StreamWriter, int] = {}  # calls without an answer, by connection
 
     def fall_silent(self) -> None:
         """Answer nothing and add nothing from now on; connections stay open, and new ones come up."""
         self.silent = True
 
     def come_back_empty(self) -> None:
-        """Serve again without any total; connections from before are reset, as at a restart."""
+        """Serve again without any total; what was asked meanwhile is turned away now, in order: nothing was added."""
         self.silent = False
         self.totals.clear()
-        for writer in self._writers:
-            writer.transport.abort()
-        self._writers.clear()
+        for writer, missed in self._missed.items():
+            self._missed[writer] = 0
+            writer.write(b"-BUSY\r\n" * missed)
 
     def add(self, name: bytes, amount: float, life_s: float) -> float:
         """Add to a name and return the total."""
@@ -290,21 +290,21 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
-        self._writers.add(writer)
-        lost = False  # a call of this connection was lost, so that no later one can be answered in order
+        self._missed[writer] = 0
         with contextlib.suppress(ConnectionError, OSError, asyncio.IncompleteReadError):
             while line := await reader.readline():
                 parts = []
                 for _ in range(int(line[1:])):
                     size = int((await reader.readline())[1:])
                     parts.append((await reader.readexactly(size + 2))[:-2])
-                lost = lost or self.silent
-                if lost:
+                if not self.silent:
+                    await asyncio.sleep(self.call_s)
+                if self.silent:
+                    self._missed[writer] += 1
                     continue
-                await asyncio.sleep(self.call_s)
                 writer.write(self._reply(parts))
                 await writer.drain()
-        self._writers.discard(writer)
+        self._missed.pop(writer, None)
         writer.close()
 
     def _reply(self, parts: list[bytes]) -> bytes:
@@ -664,6 +664,9 @@
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         case = Case(script)
         try:
             async with asyncio.timeout(within_s):
