Client connections free what they held and are limited together

Cause: a closed ClientConnection was part of reference cycles (reader, protocol, traceback of the reset) that only the cyclic collector freed, with up to 128 KB in its reader; nothing limited the sum over open connections, and limits.memory_mb was read by nobody; a parsed head takes 20 times its bytes when its fields are short. Counting live objects inside the process showed 686 connections alive with 53 MB in their readers while a few were open and the allocator had 9 MB free, which rules out fragmentation.

Two metrics tell of it.

--- a/martenstep/config/changes.py
+++ b/martenstep/config/changes.py
@@ -27,6 +27,7 @@
         "listener.max_open",
         "listener.head_bytes",
         "listener.body_bytes",
+        "listener.buffer_bytes",
         "listener.idle_ms",
         "listener.head_ms",
         "listener.leave_on_half_close",
--- a/martenstep/config/checks/listener.py
+++ b/martenstep/config/checks/listener.py
@@ -18,7 +18,7 @@
 def check_listener(checker: SettingsChecker, listener: pb.Listener, position: FieldPosition) -> None:
     """Check the listener that clients connect to."""
     checker.require_port(listener, position, any_free=True)
-    for name in ("max_connections", "max_open", "head_bytes"):
+    for name in ("max_connections", "max_open", "head_bytes", "buffer_bytes"):
         checker.require_range(listener, position, name, 1)
     checker.require_positive(listener, position, "idle_ms", "head_ms")
     for number, name in enumerate(listener.host_name):
--- a/martenstep/node/config.py
+++ b/martenstep/node/config.py
@@ -28,6 +28,13 @@
 RESERVED_SOCKETS = 46
 CLIENT_SHARE = 0.72  # of the other descriptors, for client connections; a third of them carry requests
 ENDPOINT_SHARE = 0.6  # of the endpoint connections, at most, to one endpoint: one that hangs must leave some
+# The memory that is left for the buffers of client connections, of what the configuration allows the process.
+DEFAULT_MEMORY_MB = 192
+BASE_MEMORY_MB = 40  # the interpreter, the code, and the state of customers and endpoints
+CONNECTION_BYTES = 16 << 10  # the objects of one connection
+BUFFER_SHARE = 0.5  # of the remaining memory: the allocator and the parser need about as much again
+MIN_BUFFER_BYTES = 4 << 20
+BYTES_PER_MB = 1 << 20
 MIN_SOCKETS = 64  # a gateway with fewer cannot serve
 IDLE_TIMEOUT_SHARE = 0.8  # of the time after which endpoints close idle connections: a later request is lost
 REUSE_DELAY_MS = 20.0  # before a connection is reused: a duplicate response may follow some ms later
@@ -77,6 +84,7 @@
     host: str
     port: int
     max_connections: int
+    buffer_bytes: int
     head_bytes: int = MAX_HEAD_BYTES
     body_bytes: int = MAX_BODY_BYTES
     idle_ms: float = IDLE_TIMEOUT_MS
@@ -209,6 +217,12 @@
         raise ConfigError("settings.classes and settings.contracts: expected at least one entry in each")
 
 
+def _buffer_bytes(memory_mb: float, connections: int) -> int:
+    """Compute how much the client connections may hold in buffers, of the memory that the process may take."""
+    remaining = (memory_mb - BASE_MEMORY_MB) * BYTES_PER_MB - connections * CONNECTION_BYTES
+    return max(int(remaining * BUFFER_SHARE), MIN_BUFFER_BYTES)
+
+
 def _read_seed(raw: object) -> int:
     try:
         return int(str(raw), 16)
@@ -230,7 +244,9 @@
         raise ConfigError(f"settings: {error}") from None
     _check_ranges(settings)
     policy = _table(raw_settings.get("policy_limits"), "settings.policy_limits")
-    sockets = int(_number(_table(raw.get("limits", {}), "limits"), "limits.sockets", 1024, MIN_SOCKETS))
+    limits = _table(raw.get("limits", {}), "limits")
+    sockets = int(_number(limits, "limits.sockets", 1024, MIN_SOCKETS))
+    memory_mb = _number(limits, "limits.memory_mb", DEFAULT_MEMORY_MB, 1)
     clients = int((sockets - RESERVED_SOCKETS) * CLIENT_SHARE)
     to_endpoints = sockets - RESERVED_SOCKETS - clients
     host, port = parse_address(raw.get("listen"), "listen")
@@ -240,7 +256,7 @@
         raise ConfigError("counter: missing, and the settings have one")
     return Config(
         name=str(raw.get("name", "")),
-        listener=Listener(host, port, clients),
+        listener=Listener(host, port, clients, _buffer_bytes(memory_mb, sockets)),
         upstream=Upstream(
             connections=max(int(to_endpoints * ENDPOINT_SHARE), 1),
             all_connections=to_endpoints,
--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -287,6 +287,8 @@
                     **self.engine.held_counts,
                     **self.server.counts,
                     "clients": len(self.server.clients),
+                    "client_buffer_bytes": self.server.state.buffers.held_bytes,
+                    "connections_shed": self.server.state.buffers.shed_count,
                     "upstream": self.server.pool.connections,
                 },
             )
--- a/martenstep/proxy/acceptor.py
+++ b/martenstep/proxy/acceptor.py
@@ -7,7 +7,7 @@
 import socket
 from typing import TYPE_CHECKING
 
-from martenstep.proxy.client_connection import UNAVAILABLE, ClientConnection
+from martenstep.proxy.client_connection import ClientConnection
 from martenstep.proxy.clock import MS_PER_S, now_ms
 from martenstep.proxy.listener import BACKLOG, Listener
 from martenstep.proxy.loop_lag import LoopClock
@@ -87,11 +87,8 @@
 
     def _reject(self, client: ClientConnection) -> None:
         self._state.counts["connections_turned_away"] += 1
-        if len(self._rejection_tasks) >= MAX_CONCURRENT_REJECTIONS:
-            client.send_local_reply(UNAVAILABLE, "full house")
-            client.writer.close()
-            return
-        task = self._state.loop.create_task(client.reject())
+        lingers = len(self._rejection_tasks) < MAX_CONCURRENT_REJECTIONS
+        task = self._state.loop.create_task(client.reject(lingers))
         self._rejection_tasks.add(task)
         task.add_done_callback(self._rejection_tasks.discard)
 
--- /dev/null
+++ b/martenstep/proxy/buffer_budget.py
@@ -0,0 +1,58 @@
+"""Limits the bytes that all client connections of a server hold together.
+
+Limits of a single connection do not bound their sum: hundreds of clients that stop in the middle of a large request
+would each hold as much as one may.  Beyond the limit the connections that hold the most give up their buffers, so that
+clients with small requests are served on.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+SHED_TO_SHARE = 0.9  # of the limit: each search for connections to shed frees at least a tenth of it
+
+
+class BufferHolder(Protocol):
+    """A connection that holds bytes in memory."""
+
+    def shed_buffers(self) -> bool:
+        """Give up what is buffered for an incomplete message; False if nothing can be given up now."""
+
+
+class BufferBudget:
+    """The bytes held by each connection, and their limit."""
+
+    def __init__(self, max_bytes: int) -> None:
+        """`max_bytes` limits the sum over all connections."""
+        self.max_bytes = max_bytes
+        self.held_bytes = 0
+        self.shed_count = 0  # connections that were shed since the start
+        self._held: dict[BufferHolder, int] = {}
+        self._is_shedding = False
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether more than the limit is held, although everything that can be given up was."""
+        return self.held_bytes > self.max_bytes
+
+    def update(self, holder: BufferHolder, held_bytes: int) -> None:
+        """Record how much a connection holds now; connections are shed if the sum exceeds the limit."""
+        self.held_bytes += held_bytes - self._held.get(holder, 0)
+        if held_bytes:
+            self._held[holder] = held_bytes
+        else:
+            self._held.pop(holder, None)
+        if self.exhausted and not self._is_shedding:
+            self._shed()
+
+    def _shed(self) -> None:
+        """Shed the connections that hold the most, among equals the oldest, until enough is free."""
+        self._is_shedding = True
+        target = SHED_TO_SHARE * self.max_bytes
+        try:
+            for holder, _ in sorted(self._held.items(), key=lambda item: item[1], reverse=True):
+                if self.held_bytes <= target:
+                    break
+                self.shed_count += holder.shed_buffers()
+        finally:
+            self._is_shedding = False
--- a/martenstep/proxy/client_connection.py
+++ b/martenstep/proxy/client_connection.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import select
 from contextlib import suppress
-from typing import Protocol
+from typing import TYPE_CHECKING
 
 from martenstep.proxy import engine_messages as ev
+from martenstep.proxy.client_buffers import ClientBuffers
 from martenstep.proxy.client_request import ClientRequest, RequestBody
 from martenstep.proxy.clock import MS_PER_S, now_ms
-from martenstep.proxy.dependencies import ListenerLimits, UpstreamLimits
 from martenstep.proxy.http1.message_head import ProtocolError, RequestHead
 from martenstep.proxy.http1.message_reader import ConnectionClosed, Data, EndOfMessage
 from martenstep.proxy.http1.message_writer import InvalidMessageError
@@ -23,9 +22,13 @@
     READ_BYTES,
     WatchedProtocol,
     WatchedReader,
+    abort_when_stalled,
     is_ready,
 )
 
+if TYPE_CHECKING:
+    from martenstep.proxy.connection_owner import ConnectionOwner
+
 # Bytes of an unread body that are discarded before the close: a close with unread bytes sends a reset, which can
 # destroy a response that the client has not read yet.
 MAX_LINGER_BYTES = 262_144
@@ -35,28 +38,6 @@
 CLOSE_HEADER = (b"connection", b"close")
 
 
-class ConnectionOwner(Protocol):
-    """What a client connection needs from its server."""
-
-    loop: asyncio.AbstractEventLoop
-    listener: ListenerLimits
-    upstream: UpstreamLimits
-    counts: dict[str, int]
-    requests: dict[int, ClientRequest]
-    idle_clients: dict[ClientConnection, None]
-    draining: bool
-    stopping: bool
-
-    def handle(self, event: ev.Event) -> None:
-        """Pass an event to the engine and perform the actions that it returns."""
-
-    def next_request_id(self) -> int:
-        """The id of the next request."""
-
-    def local_reply(self, reason: str) -> tuple[ev.Headers, bytes]:
-        """Headers and body of a response to a message that never reaches the engine."""
-
-
 class ClientConnection:
     """The connection of one client."""
 
@@ -71,6 +52,8 @@
         self._server, self.reader, self.writer = server, reader, writer
         self.http = Http1ServerConnection(server.listener.head_bytes)
         self.request: ClientRequest | None = None
+        self._buffers = ClientBuffers(server.buffers, reader, self.http, writer)
+        self._protocol = protocol
         self.waiting_since = now_ms()  # start of the wait for a head, restarted by its first bytes
         self.has_partial_request = False  # the first bytes of a request were received
         self.closing = False
@@ -79,6 +62,7 @@
         self.lingering = False  # the gateway has shut down writing and discards what it still receives
         peer = writer.get_extra_info("peername")
         self.client_address = str(peer[0]) if peer else ""
+        reader.on_buffered = self.update_buffers
         protocol.on_lost = self._handle_disconnect
         if server.listener.leave_on_half_close:
             protocol.on_half_close = self._handle_disconnect
@@ -121,10 +105,49 @@
         self.writer.close()
         return True
 
+    # Memory -------------------------------------------------------------------------------------------------
+
+    def update_buffers(self) -> None:
+        """Tell the server's budget how much this connection holds now."""
+        self._buffers.update(self, self.request)
+
+    def shed_buffers(self) -> bool:
+        """Give up an incomplete request, with status 503, or a response that its client does not read."""
+        request = self.request
+        if request is not None and request.streaming and self._buffers.unsent_bytes:
+            self._server.handle(ev.ClientDisconnected(request.request_id))
+            self.abort()
+            request.finish()
+        elif self.closing or (request is not None and (request.body is None or request.body.complete)):
+            return self._shed_read_ahead()
+        elif request is not None:
+            self._reject_during_body(request, UNAVAILABLE, "overloaded")
+            self.reader.discard_all()
+        else:
+            self.end_with_reply(UNAVAILABLE, "overloaded")
+        self._buffers.drop_request()
+        self.http.discard_input()
+        self.update_buffers()
+        return True
+
+    def _shed_read_ahead(self) -> bool:
+        """Discard what was read behind a complete request; the connection closes after its response."""
+        if not self.reader.buffered:
+            return False
+        self.reader.discard_all()
+        self.update_buffers()
+        return True
+
+    def _release(self) -> None:
+        """Drop what a closed connection holds, and its references to itself."""
+        self._buffers.release(self)
+        self._protocol.release()
+
     # Requests -----------------------------------------------------------------------------------------------
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
+        server = self._server
         try:
             while not self.closing:
                 head = await self._read_head()
@@ -134,6 +157,8 @@
                 await self._serve(head)
                 if not await self._prepare_next_request():
                     break
+                if self.has_read_ahead:  # a client that pipelines requests must not keep out the others
+                    await asyncio.sleep(0)
         except ProtocolError as error:
             if self.http.can_respond and not self.closing:
                 self.send_local_reply(error.status, error.reason)
@@ -142,20 +167,8 @@
             pass
         finally:
             self.writer.close()
-            self._abort_stalled(math.inf)
-
-    def _abort_stalled(self, unsent_before: float) -> None:
-        """Abort a closed connection whose client has stopped reading what is still to be written.
-
-        The connection would otherwise hold its descriptor for ever.
-        """
-        transport = self.writer.transport
-        unsent = transport.get_write_buffer_size()
-        if unsent >= unsent_before:
-            transport.abort()
-        elif unsent:
-            delay_s = self._server.upstream.answer_idle_ms / MS_PER_S
-            self._server.loop.call_later(delay_s, self._abort_stalled, unsent)
+            self._release()
+            abort_when_stalled(self.writer.transport, server.loop, server.upstream.answer_idle_ms / MS_PER_S)
 
     async def _next_event(self) -> RequestHead | Data | EndOfMessage | ConnectionClosed:
         """The next parsed event of the connection; raises ProtocolError."""
@@ -182,12 +195,17 @@
     async def _serve(self, head: RequestHead) -> None:
         """Serve one request until its final response is sent."""
         server = self._server
+        self._buffers.head = head
+        self.update_buffers()
+        if self.closing or server.buffers.exhausted:
+            self.end_with_reply(UNAVAILABLE, "overloaded")
+            return
         if head.length is not None and head.length > server.listener.body_bytes:
-            await self._reject_body()
+            self.end_with_reply(CONTENT_TOO_LARGE, "body too large")
             return
         body: RequestBody | None = None
         if head.length or head.chunked:
-            body = RequestBody(server.upstream.keep_body_bytes, head.length)
+            body = self._buffers.body = RequestBody(server.upstream.keep_body_bytes, head.length)
         else:
             self.http.next_event()  # consumes the end of a message without a body
         if server.listener.whole_body:
@@ -208,6 +226,8 @@
             await self._drain()
         finally:
             self.request, self.reader.discards_excess = None, False
+            self._buffers.drop_request()
+            self.update_buffers()
             if request.attempt_task is None and request.upstream is None:
                 server.requests.pop(request_id, None)
 
@@ -245,10 +265,6 @@
 
     # Bodies -------------------------------------------------------------------------------------------------
 
-    async def _reject_body(self) -> None:
-        self.send_local_reply(CONTENT_TOO_LARGE, "body too large")
-        await self._linger()
-
     async def _read_complete_body(self, body: RequestBody) -> bool:
         """Read a body to its end before the request goes to the engine; False if there is nothing to serve.
 
@@ -256,8 +272,7 @@
         """
         self.has_partial_request = True
         if not await self._read_body_to_end(body, unlimited=True):
-            await self._reject_body()
-            return False
+            self.end_with_reply(CONTENT_TOO_LARGE, "body too large")
         return not self.closing
 
     async def _read_body_to_end(self, body: RequestBody, unlimited: bool) -> bool:
@@ -328,15 +343,21 @@
         response.
         """
         self._server.counts["requests_too_slow"] += 1
-        self.send_local_reply(REQUEST_TIMEOUT, "head too slow")
-        self._shut_down_writing()  # `run` goes on reading, and lingers
-        self._server.loop.call_later(LINGER_MS / MS_PER_S, self.writer.close)
+        self.end_with_reply(REQUEST_TIMEOUT, "head too slow")
+
+    def end_with_reply(self, status: int, reason: str) -> None:
+        """Answer an incomplete request and discard the rest of it; `run` closes the connection after lingering."""
+        self.send_local_reply(status, reason)
+        self._shut_down_writing()
+        self.reader.discard_all()
 
-    async def reject(self) -> None:
+    async def reject(self, lingers: bool) -> None:
         """Answer a connection over the limit, and linger: an unread request would turn the close into a reset."""
         self.send_local_reply(UNAVAILABLE, "full house")
-        await self._linger(REJECTED_LINGER_MS)
+        if lingers:
+            await self._linger(REJECTED_LINGER_MS)
         self.writer.close()
+        self._release()
 
     # Close --------------------------------------------------------------------------------------------------
 
@@ -354,14 +375,10 @@
             return
         self.closing = self.lingering = True
         self._shut_down_writing()
-        read_bytes = 0
-        with suppress(TimeoutError, OSError):
+        self.update_buffers()
+        with suppress(TimeoutError):
             async with asyncio.timeout(timeout_ms / MS_PER_S):
-                while read_bytes < MAX_LINGER_BYTES:
-                    data = await self.reader.read(READ_BYTES)
-                    if not data:
-                        break
-                    read_bytes += len(data)
+                await self.reader.discard_until_end(MAX_LINGER_BYTES)
 
     def _shut_down_writing(self) -> None:
         with suppress(OSError, RuntimeError):
--- a/martenstep/proxy/client_request.py
+++ b/martenstep/proxy/client_request.py
@@ -102,6 +102,14 @@
         self.usage_recorded: asyncio.Future[bool] | None = None  # pending while the response waits for the usage record
         self.withheld_data: list[tuple[UpstreamConnection, bytes]] = []  # received while that is pending
 
+    @property
+    def response_buffer_bytes(self) -> int:
+        """The bytes of the response that are held back, and those of the request not yet sent to the endpoint."""
+        held = self.buffered_bytes + sum(len(data) for _, data in self.withheld_data)
+        if self.upstream is not None:
+            held += self.upstream.writer.transport.get_write_buffer_size()
+        return held
+
     def begin_attempt(self, number: int) -> None:
         """Discard what was received for the previous attempt."""
         self.attempt = number
--- a/martenstep/proxy/daemon.py
+++ b/martenstep/proxy/daemon.py
@@ -182,6 +182,7 @@
         counts: dict[str, float] = {
             **self.server.counts,
             "upstream_connections_opened": self.server.pool.opened,
+            "connections_shed": self.server.state.buffers.shed_count,
         }
         if self._redis is not None:
             for name, count in self._redis.core.counts.items():
@@ -202,6 +203,7 @@
             **gauges,
             **self.cluster.gauges(),
             "client_connections": len(self.server.clients),
+            "client_buffer_bytes": self.server.state.buffers.held_bytes,
             "upstream_connections": self.server.pool.connections,
         }
 
--- a/martenstep/proxy/dependencies.py
+++ b/martenstep/proxy/dependencies.py
@@ -256,6 +256,10 @@
     def body_bytes(self) -> int:
         """The maximum size of a request's body."""
 
+    @property
+    def buffer_bytes(self) -> int:
+        """The maximum of what all connections together hold in buffers."""
+
     @property
     def idle_ms(self) -> float:
         """The time after which a connection without a request is closed."""
--- a/martenstep/proxy/http1/message_body.py
+++ b/martenstep/proxy/http1/message_body.py
@@ -6,14 +6,14 @@
 from collections.abc import Iterator
 from enum import Enum, auto
 
-from martenstep.proxy.http1.message_head import END_OF_HEAD, ProtocolError
+from martenstep.proxy.http1.message_head import END_OF_HEAD, HEADERS_TOO_LARGE, ProtocolError
 
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
 MAX_CHUNK_LINE_BYTES = 1024  # with chunk extensions, which are discarded
 MAX_TRAILER_BYTES = 8192
 TRAILER = re.compile(rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*\r\n)*\r\n")
 CRLF = b"\r\n"
-BAD_REQUEST, HEADERS_TOO_LARGE = 400, 431
+BAD_REQUEST = 400
 
 
 class FixedLengthBody:
--- a/martenstep/proxy/http1/message_reader.py
+++ b/martenstep/proxy/http1/message_reader.py
@@ -13,6 +13,7 @@
     BAD_GATEWAY,
     BAD_REQUEST,
     END_OF_HEAD,
+    HEADERS_TOO_LARGE,
     STATUSES_WITHOUT_BODY,
     ProtocolError,
     RequestHead,
@@ -21,7 +22,6 @@
     parse_response_head,
 )
 
-HEADERS_TOO_LARGE = 431
 SWITCHING_PROTOCOLS = 101
 MIN_FINAL_STATUS = 200
 
@@ -75,6 +75,10 @@
         """The number of received bytes that have not been parsed: of this message or of the following ones."""
         return len(self._data)
 
+    def discard(self) -> None:
+        """Discard the bytes that have not been parsed; no further message can be read."""
+        self._data.clear()
+
     def start_next(self) -> None:
         """Allow the next message to be read."""
         self._complete, self._body, self._searched = False, None, 0
--- a/martenstep/proxy/http1/server_connection.py
+++ b/martenstep/proxy/http1/server_connection.py
@@ -53,6 +53,10 @@
         """Add received bytes; empty `data` marks the end of the connection."""
         self._reader.feed(data)
 
+    def discard_input(self) -> None:
+        """Discard the received bytes that have not been parsed."""
+        self._reader.discard()
+
     def next_event(self) -> RequestHead | Data | EndOfMessage | ConnectionClosed | None:
         """The next event of the request; raises ProtocolError, after which only a response may be written."""
         event = self._reader.next_event()
--- a/martenstep/proxy/response_relay.py
+++ b/martenstep/proxy/response_relay.py
@@ -78,7 +78,7 @@
         except InvalidMessageError:
             client.abort()
             return
-        request.buffered_data = []
+        request.buffered_data, request.buffered_bytes = [], 0
         client.writer.write(b"".join(out))
 
     def reset_client(self, action: ev.ResetClientConnection) -> None:
@@ -149,7 +149,10 @@
             return
         request.buffered_data.append(data)
         request.buffered_bytes += len(data)
-        if request.buffered_bytes > limits.hold_answer_bytes:
+        request.client.update_buffers()
+        if request.upstream is not upstream:  # it was shed
+            return
+        if request.buffered_bytes > limits.hold_answer_bytes or self._state.buffers.exhausted:
             self._state.handle(ev.ResponseBufferExceeded(request.request_id, request.attempt))
 
     def _stream(self, request: ClientRequest, upstream: UpstreamConnection, data: bytes) -> None:
--- a/martenstep/proxy/server.py
+++ b/martenstep/proxy/server.py
@@ -101,6 +101,7 @@
     def reconfigure(self, listener: ListenerLimits, upstream: UpstreamLimits) -> None:
         """Apply limits that differ only in settings that may change without a restart."""
         self.state.listener, self.state.upstream = listener, upstream
+        self.state.buffers.max_bytes = listener.buffer_bytes
 
     async def stop(self, timeout_ms: float, accept_ms: float = 0.0, serve_ms: float = 0.0) -> bool:
         """Drain, finish the requests in flight within `timeout_ms`, and close.
@@ -131,6 +132,8 @@
                 self.auth_client.pool.close_expired()
             self._acceptor.close_expired(now)
             self._relay.fail_stalled(now)
+            for client in list(self.state.clients):
+                client.update_buffers()
 
     def handle(self, event: ev.Event) -> None:
         """Pass an event to the engine and perform the actions that it returns."""
--- a/martenstep/proxy/server_state.py
+++ b/martenstep/proxy/server_state.py
@@ -14,6 +14,7 @@
 
 from martenstep.event_log import EventLog
 from martenstep.proxy import engine_messages as ev
+from martenstep.proxy.buffer_budget import BufferBudget
 from martenstep.proxy.client_connection import ClientConnection
 from martenstep.proxy.client_request import ClientRequest
 from martenstep.proxy.clock import MS_PER_S, now_ms
@@ -49,6 +50,7 @@
         self.listener, self.upstream = listener, upstream
         self.engine = engine
         self.log_event = log_event
+        self.buffers = BufferBudget(listener.buffer_bytes)
         self.counts = dict.fromkeys(COUNTER_NAMES, 0)
         # By request id, until the response was sent and the last attempt has ended.
         self.requests: dict[int, ClientRequest] = {}
--- a/martenstep/proxy/transport.py
+++ b/martenstep/proxy/transport.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import socket
 import ssl
@@ -46,6 +47,7 @@
         self.has_activity = False  # bytes or the end of the connection were received
         self.ended = False
         self.on_data: DataCallback | None = None  # receives the bytes instead of the buffer; empty bytes at the end
+        self.on_buffered: ConnectionCallback | None = None  # called after received bytes were added to the buffer
         self.discards_excess = False
         self.has_discarded = False  # bytes were discarded, so no further request can be read from this connection
 
@@ -66,6 +68,8 @@
             super().feed_data(data)
             if self.discards_excess:
                 self.discard_excess()
+            if self.on_buffered is not None:
+                self.on_buffered()
 
     def _record_arrival(self, clock: LoopClock) -> None:
         """Record when the bytes received so far arrived.
@@ -105,6 +109,42 @@
             del self._buffer[READ_BYTES:]  # type: ignore[attr-defined]
             self._maybe_resume_transport()  # type: ignore[attr-defined]
 
+    def discard_all(self) -> None:
+        """Discard what is buffered and all that is still received; a task that waits for bytes reads none."""
+        self.has_discarded = True
+        self.on_data = lambda data: None
+        self._buffer.clear()  # type: ignore[attr-defined]
+        self._maybe_resume_transport()  # type: ignore[attr-defined]
+        self._wakeup_waiter()  # type: ignore[attr-defined]
+
+    async def discard_until_end(self, max_bytes: int) -> None:
+        """Discard what is received until the other side has ended, or has sent more than `max_bytes`."""
+        self.discard_all()
+        finished, received = asyncio.Event(), 0
+
+        def count(data: bytes) -> None:
+            nonlocal received
+            received += len(data)
+            if not data or received > max_bytes:
+                finished.set()
+
+        self.on_data = count
+        if not self.ended:
+            await finished.wait()
+
+    def release(self) -> None:
+        """Drop the buffer and all callbacks of a connection that is closed.
+
+        The exception of a connection that was reset refers through its traceback to the tasks that received it, and
+        these to this reader: without the cycle the memory is free at once.
+        """
+        self._buffer.clear()  # type: ignore[attr-defined]
+        self._arrivals.clear()
+        self.on_data = self.on_buffered = None
+        error = self.exception()
+        if error is not None:
+            error.__traceback__ = None
+
     def feed_eof(self) -> None:
         """Record that the other side has shut down writing."""
         self.has_activity = True
@@ -134,6 +174,10 @@
         self.on_half_close: ConnectionCallback | None = None
         self.secure = False
 
+    def release(self) -> None:
+        """Drop the callbacks of a connection that is closed."""
+        self.on_lost = self.on_half_close = None
+
     def eof_received(self) -> bool:
         """Handle a half-close by the other side: our half stays open, except under TLS, which has no half-close."""
         super().eof_received()
@@ -162,6 +206,7 @@
         # uvloop's transports behave like asyncio's but do not inherit from them.
         write_transport = cast(asyncio.WriteTransport, transport)
         disable_nagle(write_transport)
+        limit_read_size(write_transport)
         writer = asyncio.StreamWriter(write_transport, self, self._client_reader, asyncio.get_running_loop())
         self._accepted(self._client_reader, writer, self)
 
@@ -216,6 +261,33 @@
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def limit_read_size(transport: asyncio.BaseTransport) -> None:
+    """Let the event loop read at most READ_BYTES at once, so that a stream's buffer exceeds its limit by no more.
+
+    The standard library reads up to 256 KB at once, and documents no way to change that; uvloop's transports have no
+    such attribute.
+    """
+    if hasattr(transport, "max_size"):
+        transport.max_size = READ_BYTES
+
+
+def abort_when_stalled(
+    transport: asyncio.WriteTransport,
+    loop: asyncio.AbstractEventLoop,
+    interval_s: float,
+    unsent_before: float = math.inf,
+) -> None:
+    """Abort a closed connection whose other side has stopped reading what is still to be written.
+
+    The connection would otherwise hold its descriptor for ever.  It is looked at every `interval_s`.
+    """
+    unsent = transport.get_write_buffer_size()
+    if unsent >= unsent_before:
+        transport.abort()
+    elif unsent:
+        loop.call_later(interval_s, abort_when_stalled, transport, loop, interval_s, unsent)
+
+
 def is_ready(writer: asyncio.StreamWriter, events: int) -> bool:
     """Whether the kernel reports one of `events` (select.POLL*) now, which the event loop may not have seen yet."""
     descriptor = writer.get_extra_info("socket").fileno()
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import math
 import os
 import select
 import socket
@@ -30,7 +29,7 @@
 from martenstep.proxy.connection_pool import ConnectionPool
 from martenstep.proxy.engine_messages import AttemptFailure
 from martenstep.proxy.listener import MAX_ACCEPTS_PER_TURN
-from martenstep.proxy.transport import DISCONNECTED_EVENTS, READ_BYTES
+from martenstep.proxy.transport import DISCONNECTED_EVENTS, READ_BYTES, abort_when_stalled
 from tests.node_rig import SETTINGS, endpoint_entry, request
 from tests.socket_rig import Peer, Script, ScriptedServer, run
 from tests.test_node_gateway import InProcessGateway, in_process_gateway, serve_echo
@@ -974,7 +973,8 @@
             client = await only_client(gateway)
             client.writer.write(b"x" * size)
             client.writer.close()
-            client._abort_stalled(math.inf)
+            interval_s = server.state.upstream.answer_idle_ms / 1000.0
+            abort_when_stalled(client.writer.transport, server.loop, interval_s)
             left = client.writer.transport.get_write_buffer_size()
             assert left, "more than the kernel buffers"
             if client_reads:
--- a/tests/test_node_imports.py
+++ b/tests/test_node_imports.py
@@ -49,6 +49,8 @@
     "martenstep.proxy.server",
     "martenstep.proxy.acceptor",
     "martenstep.proxy.attempt_sender",
+    "martenstep.proxy.buffer_budget",
+    "martenstep.proxy.client_buffers",
     "martenstep.proxy.client_connection",
     "martenstep.proxy.clock",
     "martenstep.proxy.connection_pool",
