One client at full speed neither starves others nor fills the memory

What callers saw: beside a client that pipelines small requests without waiting, `serve` left 317 of 1,245 usual requests unanswered for 6 s (requests that no route takes), 56 of 1,182 (ever new names, 60 to 111 MB in 30 s); with valid requests the others' p99 was 986 ms.

Each new name left an entry in the policy and each request a timer until its deadline.

The decisions are the same below 20,000 customers.

--- a/martenstep/policy/customer_state.py
+++ b/martenstep/policy/customer_state.py
@@ -181,21 +181,25 @@
         self.other_instances_rate += weight * (other_units / elapsed_ms * MS_PER_S - self.other_instances_rate)
         self.own_rate += weight * (own_units / elapsed_ms * MS_PER_S - self.own_rate)
 
-    def is_in_use(self, now: float) -> bool:
-        """Whether the entry must be kept.
+    def has_pending_work(self, now: float) -> bool:
+        """Whether the entry must be kept whatever memory it takes.
 
         An entry with a scheduled report must be: if it were dropped, its late report would be answered in place of a
         call of the customer's new entry, and the requests that wait for that call would be lost.
         """
         if self.ceiling and self.ceiling.headroom.tat > now:  # it has not refilled, but a new entry's would be full
             return True
-        if (
+        return bool(
             self.calls_in_flight
             or self.attempts_in_flight
             or self.requests_for_next_call
             or self.requests_in_call
             or self.report_scheduled
-        ):
+        )
+
+    def is_in_use(self, now: float) -> bool:
+        """Whether the entry differs from that of a new customer."""
+        if self.has_pending_work(now):
             return True
         idle_ms = now - max(self.quota.tat, self.last_used_at)
         return idle_ms <= MAX_IDLE_TOLERANCES * max(self.quota.tolerance_ms, self.period.length_ms)
--- a/martenstep/policy/quota.py
+++ b/martenstep/policy/quota.py
@@ -26,6 +26,10 @@
 CLOSING_READ_BURST_SHARE = 0.75  # if less of the burst is left, units from the previous period's end matter
 PLAN_CONFORMANCE_EWMA_WEIGHT = 0.05  # of one reply in a plan's conforming fraction: about the last twenty count
 MAX_READING_AGE_PERIODS = 4.0  # longest time for which a total is extrapolated at the rates observed
+# Entries beyond which the least recently used are dropped, so that ever new customers cannot fill the memory; a dropped
+# customer starts again with an even share of its burst.
+MAX_CUSTOMERS = 20_000
+DROPPED_SHARE = 0.1
 SWEEP_INTERVAL_MS = 2000.0  # between two searches for stale entries
 
 
@@ -49,6 +53,7 @@
         self._calls_in_flight: dict[int, CustomerState] = {}  # by key
         self._conforming_fractions = {plan.name: INITIAL_CONFORMING_FRACTION for plan in settings.plans}  # EWMA by plan
         self._swept_at = -math.inf
+        self._max_customers = MAX_CUSTOMERS
         self.call_sampler = CounterCallSampler(settings, rng)
 
     def customer(self, now: float, request: Request) -> CustomerState:
@@ -63,10 +68,22 @@
             self._customers = {key: state for key, state in self._customers.items() if state.is_in_use(now)}
         found = self._customers.get(request.customer)
         if found is None:
+            if len(self._customers) >= self._max_customers:
+                self._drop_least_recently_used(now)
             found = self._customers[request.customer] = self._new_customer(now, request)
         found.last_used_at = now
         return found
 
+    def _drop_least_recently_used(self, now: float) -> None:
+        """Make room for further customers.  Entries that hold calls, attempts or a used ceiling stay."""
+        droppable = [key for key, state in self._customers.items() if not state.has_pending_work(now)]
+        droppable.sort(key=lambda key: self._customers[key].last_used_at)
+        step = int(MAX_CUSTOMERS * DROPPED_SHARE)
+        for key in droppable[:step]:
+            del self._customers[key]
+        # If too few could be dropped, the next search comes after as many further customers: it costs a look at all.
+        self._max_customers = max(MAX_CUSTOMERS, len(self._customers) + step)
+
     def _new_customer(self, now: float, request: Request) -> CustomerState:
         plan = self._plans.get(request.plan)
         if plan is None:
--- a/martenstep/proxy/engine/timers.py
+++ b/martenstep/proxy/engine/timers.py
@@ -40,6 +40,9 @@
 Timer = CounterTimeout | RequestDeadline | ConnectTimeout | PolicyTimer
 
 
+MIN_COMPACT_SIZE = 1024  # timers from which on obsolete ones are searched for
+
+
 class TimerQueue:
     """Timers in order of due time; timers with the same due time keep the order in which they were scheduled."""
 
@@ -47,6 +50,7 @@
         """Starts empty."""
         self._heap: list[tuple[float, int, Timer]] = []
         self._scheduled = 0
+        self._compact_size = MIN_COMPACT_SIZE
         self._obsolete: Mapping[type, Callable[[Any], bool]] = {}
 
     def __len__(self) -> int:
@@ -62,15 +66,29 @@
     def schedule(self, at: float, timer: Timer) -> None:
         """Add a timer that is due at a time in milliseconds."""
         self._scheduled += 1
+        if len(self._heap) >= self._compact_size:  # before the new timer is added, whose subject may not exist yet
+            self._remove_obsolete()
         heapq.heappush(self._heap, (at, self._scheduled, timer))
 
+    def _remove_obsolete(self) -> None:
+        """Remove all obsolete timers, which a client that is rejected at once would otherwise pile up.
+
+        The next search comes once the queue has doubled, so that it costs each timer a bounded time.
+        """
+        self._heap = [entry for entry in self._heap if not self._is_obsolete(entry[2])]
+        heapq.heapify(self._heap)
+        self._compact_size = max(2 * len(self._heap), MIN_COMPACT_SIZE)
+
+    def _is_obsolete(self, timer: Timer) -> bool:
+        predicate = self._obsolete.get(type(timer))
+        return predicate is not None and predicate(timer)
+
     def next_at(self) -> float | None:
         """When the next timer that still has an effect is due; None if there is none."""
         heap = self._heap
         while heap:
             at, _, timer = heap[0]
-            is_obsolete = self._obsolete.get(type(timer))
-            if is_obsolete is None or not is_obsolete(timer):
+            if not self._is_obsolete(timer):
                 return at
             heapq.heappop(heap)
         return None
