--- a/tests/test_fault_memory.py
+++ b/tests/test_fault_memory.py
@@ -20,7 +20,7 @@
 from martenstep.proxy.client_connection import ClientConnection
 from martenstep.proxy.server import ProxyServer
 from tests.node_rig import SETTINGS, make_config, request
-from tests.socket_rig import Peer, request_head, run, running_gateway
+from tests.socket_rig import Peer, Script, request_head, run, running_gateway
 from tests.test_node_gateway import in_process_gateway, serve_echo
 from tests.test_node_processes import TEST_TIMEOUT_S, gateway_processes, silent_agent
 
@@ -28,6 +28,7 @@
 PART_BYTES = 48_000  # of a body of 64,000: three quarters
 BODY_BYTES = 64_000
 KINDS = ("run", "serve")
+STREAMING = "serve, streamed bodies"
 WHOLE_BODIES = "listener { whole_body: true }"
 
 
@@ -53,17 +54,17 @@
         self._number += 1
         if self.kind == "run":
             return request(self._number, "book", method="POST", Content_Length=str(length))
-        return request_head("/write/1", f"content-length: {length}\r\n", "POST")
+        return request_head("/write/free/1", f"content-length: {length}\r\n", "POST")
 
 
 @contextlib.asynccontextmanager
-async def subject(kind: str, tmp_path: Path) -> AsyncIterator[Subject]:
+async def subject(kind: str, tmp_path: Path, script: Script = serve_echo) -> AsyncIterator[Subject]:
     """Run a gateway of either kind in front of one backend."""
     if kind == "run":
-        async with in_process_gateway(tmp_path, serve_echo) as node:
+        async with in_process_gateway(tmp_path, script) as node:
             yield Subject(kind, node.node.server, node.port)
     else:
-        async with running_gateway(serve_echo, text=WHOLE_BODIES) as gateway:
+        async with running_gateway(script, text="" if kind == STREAMING else WHOLE_BODIES) as gateway:
             yield Subject(kind, gateway.server, gateway.port)
 
 
