A replaced endpoint's connections are retired by both daemons

Cause: the pool keeps connections by address, and only the platform's daemon retired those of an endpoint that was removed, moved or started anew. The last check before the first byte asks for the endpoint's id, which is up.

Change: ProxyServer.handle compares the list before and after each update (proxy/endpoint_processes.py), so that no daemon can be built without it; the platform's copy of the logic is gone.

--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -133,7 +133,6 @@
             else None
         )
         self._totals_task: asyncio.Task[None] | None = None
-        self._started: dict[int, float] = {}  # by endpoint: when it started
         self._first_list = asyncio.Event()
         self._stop = asyncio.Event()
         self._reread_timer: asyncio.TimerHandle | None = None
@@ -171,24 +170,7 @@
     def _endpoints_updated(self, update: EndpointListEvent) -> None:
         if update.scope is EndpointListScope.FULL:
             self._first_list.set()
-        starts = {endpoint.id: endpoint.started_ms for endpoint in update.endpoints}
-        affected_numbers = starts if update.scope is EndpointListScope.DELTA else self.engine.addresses
-        before = {
-            number: self.engine.addresses[number] for number in affected_numbers if number in self.engine.addresses
-        }
-        started_before = {number: self._started.get(number, math.inf) for number in before}
         self.server.handle(update)
-        if update.scope is not EndpointListScope.DELTA:
-            self._started.clear()
-        self._started.update(starts)
-        for number in [*before, *starts]:
-            if number not in self.engine.addresses:
-                self._started.pop(number, None)
-        # A removed, moved or restarted endpoint is no longer the process that the pooled connections lead to.
-        for number, address in before.items():
-            restarted = self._started.get(number, 0.0) > started_before[number]
-            if self.engine.addresses.get(number) != address or restarted:
-                self.server.pool.retire_address(address)
 
     def _counter_replied(self, call_id: int, result: CallResult, total: float) -> None:
         self.server.handle(CounterReplied(call_id, result, total))
--- a/martenstep/proxy/server.py
+++ b/martenstep/proxy/server.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any
 
+from martenstep.discovery.endpoint_list import EndpointListEvent
 from martenstep.event_log import EventLog
 from martenstep.proxy import engine_messages as ev
 from martenstep.proxy.acceptor import Acceptor
@@ -21,6 +22,7 @@
 from martenstep.proxy.clock import MS_PER_S, now_ms
 from martenstep.proxy.connection_pool import ConnectionPool
 from martenstep.proxy.dependencies import ListenerLimits, UpstreamLimits
+from martenstep.proxy.endpoint_processes import EndpointProcesses
 from martenstep.proxy.engine import Engine
 from martenstep.proxy.graceful_shutdown import GracefulShutdown
 from martenstep.proxy.loop_lag import LoopClock, UntrackedLoopClock
@@ -64,6 +66,7 @@
             upstream.all_connections,
         )
         self._acceptor = Acceptor(self.state, tls, clock or UntrackedLoopClock())
+        self._processes = EndpointProcesses(lambda: engine.addresses, self.pool.retire_address)
         self._relay = ResponseRelay(self.state, self.pool)
         self._sender = AttemptSender(self.state, self.pool, self._relay)
         self._shutdown = GracefulShutdown(self.state, self._acceptor)
@@ -137,7 +140,10 @@
 
     def handle(self, event: ev.Event) -> None:
         """Pass an event to the engine and perform the actions that it returns."""
-        self.state.handle(event)
+        if isinstance(event, EndpointListEvent):
+            self._processes.update(event, self.state.handle)
+        else:
+            self.state.handle(event)
 
     # Optional parts -----------------------------------------------------------------------------------------
 
--- a/tests/test_node_imports.py
+++ b/tests/test_node_imports.py
@@ -54,6 +54,7 @@
     "martenstep.proxy.client_connection",
     "martenstep.proxy.clock",
     "martenstep.proxy.connection_pool",
+    "martenstep.proxy.endpoint_processes",
     "martenstep.proxy.graceful_shutdown",
     "martenstep.proxy.client_request",
     "martenstep.proxy.response_relay",
