A denial made for one client goes to no other request

Cause: all requests with one credential, or none, share a check, and each got the whole denial with Set-Cookie, Location and body; cached denials likewise.

Change: a denial with either header goes to the request that the check was made for; the others get checks of their own within the same limits, as do later requests with that credential until a verdict can be shared; it is not cached. A request that was allowed before and is denied by it gets the bare verdict.

Tests: six, all fail on the text before.

--- a/martenstep/auth/core.py
+++ b/martenstep/auth/core.py
@@ -2,7 +2,9 @@
 
 This module does no I/O and reads no clock; random numbers come from a generator that the caller provides.
 
-A *check* asks a service about one credential and is shared by all waiting requests with that credential.  Every waiting
+A *check* asks a service about one credential and is shared by all waiting requests with that credential.  A denial that
+the service made for one client (Answer.is_personal) goes to the request that the check was made for; the others get
+checks of their own, and so do later requests with that credential until a verdict can be shared again.  Every waiting
 request receives exactly one of Allow, Deny and NoVerdict, at the latest when the configured share of its client's
 deadline is over; a request whose client disconnected receives none.  A check never has two attempts in flight.
 
@@ -46,7 +48,8 @@
 class _Check:
     number: int
     credential: bytes
-    payload: object  # of the check's first request; returned with each Start
+    owner: int  # the request that the check was made for
+    payload: object  # of that request; returned with each Start
     requests: dict[int, WaitingRequest] = field(default_factory=dict)
     attempt: int = -1
     service: int | None = None  # the one with an attempt in flight; None if there is none
@@ -89,6 +92,7 @@
         self._queue: OrderedDict[int, _Check] = OrderedDict()  # those without an attempt in flight, oldest first
         self._queued_requests = GroupedWaitQueue()  # the requests of the checks in `_queue`
         self._cache = VerdictCache(rules)
+        self._unshared: OrderedDict[bytes, None] = OrderedDict()  # credentials whose last verdict was personal
         self._allowed = AllowedRequests()
         self._timers: list[_Timer] = []
         self._timers_set = 0
@@ -132,10 +136,10 @@
             self._apply_verdict(request_id, credential, cached)
             return self._take_actions()
         check = self._checks_by_credential.get(credential)
-        if check is None:
-            check = self._new_check(credential, payload)
+        if check is None or credential in self._unshared:
+            check = self._new_check(credential, request_id, payload)
         deadline = now + self._rules.max_deadline_share * remaining_ms
-        request = WaitingRequest(request_id, deadline, group, fail_open, check.number)
+        request = WaitingRequest(request_id, deadline, group, fail_open, check.number, payload)
         check.requests[request_id] = self._requests[request_id] = request
         if check.number in self._queue:
             self._queued_requests.add(request)
@@ -165,14 +169,19 @@
         self._end_attempt(check).record_response(now - check.attempt_started_at)
         self._cache.put(now, check.credential, answer)
         self._remove_check(check)
+        self._record_sharing(check.credential, answer)
         if not answer.allows:
             for request_id in self._allowed.by_credential(check.credential):
                 self._allowed.remove(request_id)
-                self._actions.append(Deny(request_id, answer))
-        for request_id in list(check.requests):
-            del self._requests[request_id]
-            self._apply_verdict(request_id, check.credential, answer)
+                self._actions.append(Deny(request_id, answer.verdict()))
+        for request in list(check.requests.values()):
+            if answer.is_personal and request.request_id != check.owner:
+                self._check_alone(request, check.credential)
+            else:
+                del self._requests[request.request_id]
+                self._apply_verdict(request.request_id, check.credential, answer)
         self._start_checks(now)
+        self._shed()
         return self._take_actions()
 
     def failed(self, now: float, number: int, attempt: int) -> list[Action]:
@@ -233,9 +242,24 @@
 
     # Checks ---------------------------------------------------------------------------------------------
 
-    def _new_check(self, credential: bytes, payload: object) -> _Check:
+    def _record_sharing(self, credential: bytes, answer: Answer) -> None:
+        """Remember whether the verdicts on a credential can be shared."""
+        self._unshared.pop(credential, None)
+        if answer.is_personal:
+            self._unshared[credential] = None
+            if len(self._unshared) > self._rules.max_cache_entries:
+                self._unshared.popitem(last=False)
+
+    def _check_alone(self, request: WaitingRequest, credential: bytes) -> None:
+        """Give a waiting request a check of its own."""
+        check = self._new_check(credential, request.request_id, request.payload)
+        request.check_number = check.number
+        check.requests[request.request_id] = request
+        self._queued_requests.add(request)
+
+    def _new_check(self, credential: bytes, owner: int, payload: object) -> _Check:
         self._last_check_number += 1
-        check = _Check(self._last_check_number, credential, payload)
+        check = _Check(self._last_check_number, credential, owner, payload)
         self._checks[check.number] = self._checks_by_credential[credential] = check
         self._queue[check.number] = check
         return check
--- a/martenstep/auth/messages.py
+++ b/martenstep/auth/messages.py
@@ -31,6 +31,11 @@
     initial_breaker_open_ms: float = 500.0  # how long a circuit breaker stays open when it opens for the first time
 
 
+# Headers of a denial that the service made for one client: a session, or where it goes on with its own request.
+PERSONAL_HEADERS = frozenset((b"set-cookie", b"location"))
+UNAUTHORIZED = 401
+
+
 class Reason(Enum):
     """Why there is no verdict; logs and error responses contain the value."""
 
@@ -53,6 +58,19 @@
         """Whether the request is allowed."""
         return 200 <= self.status < 300
 
+    @property
+    def is_personal(self) -> bool:
+        """Whether it is a denial made for one client: no other request may receive it."""
+        return not self.allows and any(name in PERSONAL_HEADERS for name, _ in self.headers)
+
+    def verdict(self) -> Answer:
+        """The denial as it is shared with requests that it was not made for; a redirect becomes a plain denial."""
+        if not self.is_personal:
+            return self
+        is_redirect = any(name == b"location" for name, _ in self.headers)
+        headers = tuple(pair for pair in self.headers if pair[0] == b"www-authenticate")
+        return Answer(UNAUTHORIZED if is_redirect else self.status, headers)
+
 
 # Actions ----------------------------------------------------------------------------------------------
 
--- a/martenstep/auth/verdict_cache.py
+++ b/martenstep/auth/verdict_cache.py
@@ -36,9 +36,12 @@
         return entry[1]
 
     def put(self, now: float, credential: bytes, answer: Answer) -> None:
-        """Store a new verdict, which replaces an earlier one on this credential even if it may not be cached itself."""
+        """Store a new verdict, which replaces an earlier one on this credential even if it may not be cached itself.
+
+        A denial that was made for one client is not cached.
+        """
         max_ms = self._rules.max_allow_cache_ms if answer.allows else self._rules.max_deny_cache_ms
-        lifetime_ms = min(answer.cache_lifetime_ms, max_ms)
+        lifetime_ms = 0.0 if answer.is_personal else min(answer.cache_lifetime_ms, max_ms)
         if lifetime_ms <= 0:
             self._entries.pop(credential, None)
             return
--- a/martenstep/auth/wait_queue.py
+++ b/martenstep/auth/wait_queue.py
@@ -15,6 +15,7 @@
     group: str
     fail_open: bool
     check_number: int
+    payload: object  # of a check of its own
 
 
 class GroupedWaitQueue:
--- a/tests/test_auth_core.py
+++ b/tests/test_auth_core.py
@@ -334,3 +334,66 @@
 
 RandomEvents.TestCase.settings = hypo(max_examples=150, stateful_step_count=40, deadline=None, derandomize=True)
 TestRandomEvents = RandomEvents.TestCase
+
+
+# Denials made for one client --------------------------------------------------------------------------------
+
+
+def session(number: int) -> Answer:
+    """A denial with a session of its own; the service would let it be cached."""
+    return Answer(401, ((b"set-cookie", b"s=%d" % number), (b"www-authenticate", b"Form")), b"log in", 10_000.0)
+
+
+def test_a_denial_made_for_one_client_goes_to_no_other_request() -> None:
+    """Guards against visitors who wait for one check and are given one session."""
+    driver = CoreDriver(attempt_timeout_ms=1e6)
+    for request_id in range(1, 6):
+        driver.ask(request_id, remaining_ms=1e6)
+    [first] = driver.starts()
+    assert [a for a in driver.answer(first, session(0)) if isinstance(a, Deny)] == [Deny(1, session(0))]
+    own = driver.starts()[1:]
+    assert len(own) == 4  # each other request gets a check of its own at once
+    denied = [action for start in reversed(own) for action in driver.answer(start, session(start.check))]
+    assert {action.request_id for action in denied if isinstance(action, Deny)} == {2, 3, 4, 5}
+    assert len({action.answer for action in denied if isinstance(action, Deny)}) == 4
+    assert driver.core.held == {"asks": 0, "checks": 0, "queued": 0, "cached": 0, "passed": 0, "out": 0}
+
+
+def test_requests_after_a_personal_denial_are_checked_alone_until_a_verdict_can_be_shared() -> None:
+    driver = CoreDriver()
+    driver.ask(1)
+    driver.answer(driver.starts()[-1], session(1))
+    driver.ask(2)
+    driver.ask(3)
+    assert len(driver.starts()) == 3
+    driver.answer(driver.starts()[-1], ALLOWED_UNCACHED)
+    driver.ask(4)
+    driver.ask(5)
+    assert len(driver.starts()) == 4
+
+
+def test_without_its_owner_a_personal_denial_goes_to_nobody() -> None:
+    driver = CoreDriver()
+    driver.ask(1)
+    driver.ask(2)
+    driver.record(driver.core.left(0.0, 1))
+    assert [a for a in driver.answer(driver.starts()[0], session(1)) if isinstance(a, Deny)] == []
+    assert driver.answer(driver.starts()[-1], session(2)) == [Deny(2, session(2))]
+
+
+def test_a_request_allowed_before_is_denied_by_a_personal_denial_without_what_was_made_for_another() -> None:
+    driver = CoreDriver()
+    driver.ask(1)
+    driver.answer(driver.starts()[-1], ALLOWED_UNCACHED)
+    driver.ask(2)
+    actions = driver.answer(driver.starts()[-1], Answer(302, ((b"location", b"/login?for=2"),)))
+    assert actions == [Deny(1, Answer(401)), Deny(2, Answer(302, ((b"location", b"/login?for=2"),)))]
+
+
+def test_waiting_requests_with_checks_of_their_own_stay_within_the_limit_of_waiting_requests() -> None:
+    driver = CoreDriver(max_in_flight=1, max_waiting=3)
+    for request_id in range(10):
+        driver.ask(request_id)
+    actions = driver.answer(driver.starts()[0], session(0))
+    shed = [action for action in actions if isinstance(action, NoVerdict)]
+    assert len(shed) == 5 and {action.reason for action in shed} == {Reason.SHED}
--- a/tests/test_auth_proxy.py
+++ b/tests/test_auth_proxy.py
@@ -351,3 +351,19 @@
             assert door.server.auth_client is not None and not door.server.auth_client.pool.connections
 
     run(test())
+
+
+def test_visitors_who_wait_for_one_check_get_each_a_session_of_their_own() -> None:
+    """Guards against a Set-Cookie, a Location or a body that was made for another client."""
+    rig = AuthRig()
+    visitors = [rig.send(f"/safe/{number}") for number in range(3)]
+    rig.send_verdict(401, [(b"set-cookie", b"s=0")], b"for 0")
+    checks = rig.actions_of(ev.StartAuthCheck)
+    assert [dict(check.headers)[b"x-forwarded-uri"] for check in checks] == [b"/safe/0", b"/safe/1", b"/safe/2"]
+    for number, check in enumerate(checks[1:], 1):
+        session = [(b"set-cookie", b"s=%d" % number)]
+        rig.handle(ev.AuthCheckReplied(check.check_id, check.attempt, 401, session, b"for %d" % number))
+    replies = [rig.reply(visitor) for visitor in visitors]
+    assert [header(reply, "set-cookie") for reply in replies] == ["s=0", "s=1", "s=2"]
+    assert [reply.body for reply in replies] == [b"for 0", b"for 1", b"for 2"]
+    assert rig.held() == NOTHING_HELD
