A connection rests before its reuse on both daemons and for checks

Cause: a second answer in transit as the next request is written cannot be told from its answer. Only the platform's daemon set a delay before reuse (20 ms).

Change: the delay is ConnectionPool's default; the client of the authentication service waits 2 s, since a service may be as late with its second verdict as with its first.

Tests: one for endpoints of serve, one for verdicts (fails on the text before: the revoked credential was served); `run` had its own. Three socket tests of serve count or need the reuse of one connection within milliseconds: they set the delay to 0, as those of the platform do, and keep every assertion.

--- a/martenstep/node/config.py
+++ b/martenstep/node/config.py
@@ -37,7 +37,6 @@
 BYTES_PER_MB = 1 << 20
 MIN_SOCKETS = 64  # a gateway with fewer cannot serve
 IDLE_TIMEOUT_SHARE = 0.8  # of the time after which endpoints close idle connections: a later request is lost
-REUSE_DELAY_MS = 20.0  # before a connection is reused: a duplicate response may follow some ms later
 # SIGKILL follows SIGTERM after the longest deadline, 3 s at most, plus 0.7 s.
 MAX_GRACE_MS, EXTRA_GRACE_MS = 3000.0, 700.0
 KILL_MARGIN_MS = 300.0  # every request is answered this long before SIGKILL
--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -24,7 +24,6 @@
 from martenstep.discovery.endpoint_list import EndpointListEvent
 from martenstep.node.config import (
     EMPTY_DRAIN_PLAN,
-    REUSE_DELAY_MS,
     TRANSIENT_ERRORS,
     Config,
     ConfigError,
@@ -121,7 +120,6 @@
         self._request_reader = NodeRequestReader(config.settings, now_ms)
         self.engine = Engine(make_dependencies(config, self._request_reader), config.seed)
         self.server = ProxyServer(config.listener, config.upstream, self.engine, self._event_logger.log, clock=selector)
-        self.server.pool.reuse_delay_ms = REUSE_DELAY_MS
         self._follower = EndpointListFollower()
         self._timing = SERVICE_TIMING if config.settings.must_subscribe else AGENT_TIMING
         self._discovery = DiscoveryClient(
--- a/martenstep/proxy/auth_requests.py
+++ b/martenstep/proxy/auth_requests.py
@@ -15,6 +15,9 @@
 from martenstep.proxy.upstream_connection import UpstreamConnection
 
 IDLE_TIMEOUT_MS = 15_000.0  # of a connection to a service
+# Before a connection is reused.  A second verdict would be read as that on the next credential, and a slow service may
+# send it as late as it answers.
+REUSE_DELAY_MS = 2000.0
 
 
 class CheckObserver(Protocol):
@@ -56,6 +59,7 @@
             observer.log_rejected_server,
             self.tls[0].context if self.tls else None,
             settings.tls.server_name,
+            reuse_delay_ms=REUSE_DELAY_MS,
         )
         self._attempts: dict[int, _CheckAttempt] = {}
 
--- a/martenstep/proxy/connection_pool.py
+++ b/martenstep/proxy/connection_pool.py
@@ -14,6 +14,8 @@
 from martenstep.proxy.upstream_connection import UpstreamConnection
 
 Address = tuple[str, int]
+# A second response may follow some milliseconds after the first, and would be read as the one to the next request.
+REUSE_DELAY_MS = 20.0
 LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0: a close sends a reset
 
 
@@ -28,17 +30,17 @@
         tls: ssl.SSLContext | None = None,
         server_name: str = "",
         max_connections: int = 0,
+        reuse_delay_ms: float = REUSE_DELAY_MS,
     ) -> None:
         """`max_connections` limits the connections to all addresses together (0: no such limit).
 
+        A connection is not reused until `reuse_delay_ms` after its response.
         `handshake_rejected` is called when a TLS handshake fails.
         """
         self._max_per_address, self._idle_timeout_ms = max_per_address, idle_timeout_ms
         self._max_connections = max_connections
         self._handshake_rejected = handshake_rejected
-        # A connection is not reused until this long after its response: a second response may follow some milliseconds
-        # later and would be read as the response to the next request.
-        self.reuse_delay_ms = 0.0
+        self.reuse_delay_ms = reuse_delay_ms
         self._tls, self._server_name = tls, server_name
         self._idle: dict[Address, list[UpstreamConnection]] = {}  # the most recently used one is last
         self._slots: dict[Address, int] = {}  # slots in use by address
--- a/tests/test_auth_proxy.py
+++ b/tests/test_auth_proxy.py
@@ -353,6 +353,30 @@
     run(test())
 
 
+def test_a_late_second_verdict_is_not_that_on_the_next_credential() -> None:
+    """Guards against a revoked credential that is let in: the second verdict comes as the next check was written."""
+
+    async def verdict_twice(peer: Peer) -> None:
+        last: tuple[str, str] | None = None
+        while True:
+            request = await peer.read_head()
+            if last is not None:
+                await peer.send_response("", *last)
+            allowed = "authorization: anna" in request
+            last = ("200 OK", "x-auth-customer: anna\r\n") if allowed else ("403 Forbidden", "")
+            await peer.send_response("", *last)
+
+    async def test() -> None:
+        async with gateway_with_auth(verdict_twice, echo_path) as (door, _):
+            assert door.server.auth_client is not None
+            assert door.server.auth_client.pool.reuse_delay_ms >= 1400.0  # as late as the service may answer
+            assert (await door.get("/safe/1", "authorization: anna\r\n"))[0] == 200
+            assert (await door.get("/safe/2", "authorization: revoked\r\n"))[0] == 403
+            assert (await door.get("/safe/3", "authorization: other\r\n"))[0] == 403
+
+    run(test())
+
+
 def test_visitors_who_wait_for_one_check_get_each_a_session_of_their_own() -> None:
     """Guards against a Set-Cookie, a Location or a body that was made for another client."""
     rig = AuthRig()
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -19,14 +19,14 @@
 
 import pytest
 
-from martenstep.node.config import REUSE_DELAY_MS, DrainPlan
+from martenstep.node.config import DrainPlan
 from martenstep.node.discovery import DiscoveryClient
 from martenstep.node.endpoint_list import EndpointListFollower
 from martenstep.proxy import graceful_shutdown
 from martenstep.proxy.acceptor import MAX_CONCURRENT_REJECTIONS, MIN_AGE_TO_CLOSE_MS
 from martenstep.proxy.client_connection import ClientConnection
 from martenstep.proxy.clock import now_ms
-from martenstep.proxy.connection_pool import ConnectionPool
+from martenstep.proxy.connection_pool import REUSE_DELAY_MS, ConnectionPool
 from martenstep.proxy.engine_messages import AttemptFailure
 from martenstep.proxy.listener import MAX_ACCEPTS_PER_TURN
 from martenstep.proxy.transport import DISCONNECTED_EVENTS, READ_BYTES, abort_when_stalled
--- a/tests/test_proxy_sockets.py
+++ b/tests/test_proxy_sockets.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from martenstep.proxy.connection_pool import ConnectionPool
+from martenstep.proxy.connection_pool import REUSE_DELAY_MS, ConnectionPool
 from tests.socket_rig import Peer, request_head, run, running_gateway
 
 
@@ -30,6 +30,7 @@
 def test_kept_alive_and_pipelined_requests_are_answered_in_order() -> None:
     async def test() -> None:
         async with running_gateway(echo_target) as gateway:
+            gateway.server.pool.reuse_delay_ms = 0.0
             peer = await gateway.connect()
             await peer.write("".join(request_head(f"/read/{n}") for n in range(5)))
             bodies = [(await peer.read_response())[2] for _ in range(5)]
@@ -39,6 +40,30 @@
     run(test())
 
 
+def test_a_late_second_response_is_not_relayed_to_the_next_request() -> None:
+    """Guards against an answer of another: the second one comes as the next request has been written."""
+
+    async def twice(peer: Peer) -> None:
+        last = ""
+        while True:
+            target = (await peer.read_head()).split()[1]
+            if last:
+                await peer.send_response(last)
+            last = target
+            await peer.send_response(target)
+
+    async def test() -> None:
+        async with running_gateway(twice) as gateway:
+            assert gateway.server.pool.reuse_delay_ms == REUSE_DELAY_MS
+            gateway.server.pool.reuse_delay_ms = 60_000.0  # the test must not depend on its own speed
+            peer = await gateway.connect()
+            for number in range(3):
+                await peer.write(request_head(f"/read/{number}"))
+                assert (await peer.read_response())[2] == b"/read/%d" % number
+
+    run(test())
+
+
 def test_a_head_sent_one_byte_at_a_time_is_parsed() -> None:
     async def test() -> None:
         async with running_gateway(echo_target) as gateway:
@@ -289,6 +314,7 @@
 
     async def test() -> None:
         async with running_gateway(reset_second) as gateway:
+            gateway.server.pool.reuse_delay_ms = 0.0
             peer = await gateway.connect()
             await peer.write(request_head("/pay/1"))
             assert (await peer.read_response())[0] == 200
@@ -522,6 +548,7 @@
 
     async def test() -> None:
         async with running_gateway(echo_target) as gateway:
+            gateway.server.pool.reuse_delay_ms = 0.0
             peer = await gateway.connect()
             await peer.write(request_head())
             await peer.read_response()
