Connection cannot name what frames a request or what it is decided by

Cause: whatever Connection names was removed. RFC 9110 7.6.1 forbids to name headers that every recipient needs.

Change: content-length or host there is 400 for both daemons; the idempotency key and the header that names the customer are forwarded even if named.

Tests: three heads and one engine test; all fail on the text before.

--- a/martenstep/proxy/http1/message_head.py
+++ b/martenstep/proxy/http1/message_head.py
@@ -23,6 +23,7 @@
 MAX_FIELDS = 128  # header fields of a message: a parsed field takes many times the memory of its bytes
 LINES_WITHOUT_FIELD = 2  # of a head: its first line and the empty one
 MINOR_VERSIONS = {"1.1": 1, "1.0": 0}
+END_TO_END_HEADERS = frozenset((b"content-length", b"host"))  # each recipient needs them
 BAD_REQUEST, HEADERS_TOO_LARGE, NOT_IMPLEMENTED, BAD_GATEWAY, VERSION_NOT_SUPPORTED = 400, 431, 501, 502, 505
 
 
@@ -92,6 +93,7 @@
     keep_alive: bool
     expects_continue: bool
     host_count: int
+    connection_options: frozenset[bytes]  # in lower case
 
 
 def _read_framing(headers: Headers, minor_version: int) -> _Framing:
@@ -99,6 +101,7 @@
     length: int | None = None
     chunked = close = expects_continue = keep_alive = False
     host_count = 0
+    options: frozenset[bytes] = frozenset()
     for name, value in headers:
         match name:
             case b"content-length":
@@ -110,8 +113,8 @@
                     raise ProtocolError(NOT_IMPLEMENTED, "transfer coding not known")
                 chunked = True
             case b"connection":
-                options = {option.strip(WHITESPACE) for option in value.lower().split(b",")}
-                close, keep_alive = close or b"close" in options, keep_alive or b"keep-alive" in options
+                options |= {option.strip(WHITESPACE) for option in value.lower().split(b",")}
+                close, keep_alive = b"close" in options, b"keep-alive" in options
             case b"expect":
                 expects_continue = value.lower() == b"100-continue"
             case b"host":
@@ -122,7 +125,7 @@
         reason = "both content-length and transfer-encoding" if length is not None else "bad request"
         raise ProtocolError(BAD_REQUEST, reason)
     persistent = not close and (minor_version == 1 or keep_alive)
-    return _Framing(length, chunked, persistent, expects_continue and minor_version == 1, host_count)
+    return _Framing(length, chunked, persistent, expects_continue and minor_version == 1, host_count, options)
 
 
 def _has_too_many_fields(raw: bytes) -> bool:
@@ -159,6 +162,9 @@
     framing = _read_framing(headers, minor_version)
     if framing.host_count > 1 or (not framing.host_count and minor_version):
         raise ProtocolError(BAD_REQUEST, "bad request")
+    if framing.connection_options & END_TO_END_HEADERS:
+        # RFC 9110 7.6.1: a sender must not list these.  Without its length a body would be read as the next request.
+        raise ProtocolError(BAD_REQUEST, "connection names a header of the whole request")
     return RequestHead(
         method,
         target,
--- a/martenstep/proxy/stages/upstream_request.py
+++ b/martenstep/proxy/stages/upstream_request.py
@@ -35,6 +35,9 @@
         self._key_header = upstream.key_header.lower().encode()
         self._deadline_header = listener.deadline_header.lower().encode()
         self._not_forwarded = NOT_FORWARDED | {self._id_header, self._attempt_header, self._deadline_header}
+        # Headers that the gateway decides by, and endpoints as well: no client can have them removed by its Connection.
+        customer_headers = (route.customer_header.lower().encode() for route in gateway_settings.route)
+        self._always_forwarded = frozenset((self._key_header, *customer_headers))
         # Headers that only the gateway itself sets.
         self.gateway_header_names = (self._id_header, self._attempt_header, self._key_header, self._deadline_header)
         self.auth_only, self._auth_copies = frozenset(auth_only), frozenset(auth_copies)
@@ -49,6 +52,8 @@
         Hop-by-hop headers and those that the gateway or an authentication service sets are left out.
         """
         excluded = connection_header_names(headers, self._not_forwarded)
+        if excluded is not self._not_forwarded:
+            excluded -= self._always_forwarded - self._not_forwarded
         if not self.auth_only:
             return [pair for pair in headers if pair[0] not in excluded]
         # Some servers treat x_auth_customer as x-auth-customer, so underscores are compared as hyphens.
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -31,6 +31,18 @@
     assert rig.held() == NOTHING_HELD
 
 
+def test_a_client_cannot_have_removed_what_the_gateway_decides_by() -> None:
+    """Guards against a key or a customer that the gateway has seen and the endpoint does not."""
+    rig = Rig()
+    request_id = rig.send(
+        "/write/free/1", method="POST", connection="idempotency-key, x-hop", idempotency_key="k", x_hop="1"
+    )
+    sent = rig.last_attempt(request_id)
+    assert header(sent, "idempotency-key") == "k" and header(sent, "x-hop") is None
+    sent = rig.last_attempt(rig.send(connection="X-Customer"))
+    assert header(sent, "x-customer") == "free" and header(sent, "connection") is None
+
+
 def test_request_id_is_generated_if_missing_and_truncated_if_too_long() -> None:
     rig = Rig()
     one, two = rig.last_attempt(rig.send()), rig.last_attempt(rig.send())
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -169,6 +169,10 @@
 ]
 # Accepted by h11 and rejected by RequestReader.
 STRICTER: list[tuple[bytes, int]] = [
+    # A body without its length would be read as the next request (RFC 9110 7.6.1).
+    (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\nconnection: close, content-length\r\n\r\nx", 400),
+    (b"GET / HTTP/1.1\r\nhost: a\r\nconnection: Host\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nhost: a\r\nconnection: keep-alive\r\nconnection:\tContent-Length \r\n\r\n", 400),
     (
         b"GET / HTTP/1.1\r\n" + HOST + b"X-A: " + b"a" * MAX_HEAD_BYTES + b"\r\n\r\n",
         431,
