No connection is accepted by nobody while the workers of a gateway stop

Cause: the supervisor's copy of the listening socket stayed open until the workers had ended; the kernel went on completing connections that no worker accepted any more.

Change: the supervisor closes its copy before it signals the workers; a listener looks at its queue again after the last accepted connection is set up.

Test: with a worker held by an incomplete request, connections are refused while it still runs; failed on the text before.

--- a/martenstep/proxy/listener.py
+++ b/martenstep/proxy/listener.py
@@ -109,6 +109,9 @@
         except OSError:  # the connection has ended already
             accepted.close()
 
+    def _has_unserved_connections(self) -> bool:
+        return bool(self._connect_tasks) or has_pending_connections(self._socket)
+
     async def close(self, timeout_s: float) -> None:
         """Accept the connections in the accept queue, for a bounded time, then close the socket.
 
@@ -117,7 +120,7 @@
         if not self.accepting:
             return
         deadline = self._loop.time() + timeout_s
-        while has_pending_connections(self._socket) and self._loop.time() < deadline:
+        while self._has_unserved_connections() and self._loop.time() < deadline:
             await asyncio.sleep(0)
         self.accepting = False
         if self._retry_timer is not None:
--- a/martenstep/supervise/supervisor.py
+++ b/martenstep/supervise/supervisor.py
@@ -159,6 +159,7 @@
     async def stop(self) -> None:
         """Ask all workers to shut down, and kill those that do not in time."""
         self._stopping.set()
+        self._close_listener()
         for worker in self._workers:
             worker.send_signal(signal.SIGTERM)
         if self._tasks:
@@ -169,6 +170,13 @@
                 worker.send_signal(signal.SIGKILL)
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=KILL_TIMEOUT_S)
+
+    def _close_listener(self) -> None:
+        """Close this process's copy of the listening socket.
+
+        The kernel completes connections as long as any process has it open.  The workers close theirs after they have
+        emptied the accept queue; what is accepted after that would be reset unanswered when the last copy is closed.
+        """
         if self._listener is not None:
             self._listener.close()
 
--- a/tests/test_supervise.py
+++ b/tests/test_supervise.py
@@ -270,6 +270,34 @@
     run(test())
 
 
+def test_a_connection_that_is_accepted_while_the_workers_stop_is_answered() -> None:
+    """Guards against a listening socket that stays open in the supervisor after all workers have stopped accepting."""
+
+    async def test() -> None:
+        async with supervised_gateway("workers { count: 2 }") as gateway:
+            _, slow = await asyncio.open_connection("127.0.0.1", gateway.supervisor.port)
+            slow.write(b"GET /auth HTTP/1.1\r\nhost: d\r\n")  # an incomplete request: its worker waits for stop_ms
+            await asyncio.sleep(0.1)
+            stopping = asyncio.create_task(gateway.supervisor.stop())
+            await asyncio.sleep(0)
+            statuses, refused = [], False
+            while not stopping.done() and not refused:
+                try:
+                    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.supervisor.port)
+                except ConnectionRefusedError:
+                    refused = True
+                    break
+                writer.write(b"GET /none HTTP/1.1\r\nhost: d\r\nconnection: close\r\n\r\n")
+                statuses.append((await reader.read()).split()[1:2])
+                writer.close()
+            assert refused and not stopping.done(), "nobody accepts any more, so nothing is left to be reset"
+            assert all(statuses)
+            slow.close()
+            await stopping
+
+    run(test())
+
+
 def test_the_supervisor_gives_up_when_all_workers_exit_at_their_start() -> None:
     events: list[str] = []
 
