Workers share the limit of buffers of their gateway

Each worker had listener.buffer_bytes for itself, so that a gateway of eight workers could hold eight times what its settings say. It is divided like the other limits of the whole gateway; the test of the shares fails before.

--- a/martenstep/supervise/worker_settings.py
+++ b/martenstep/supervise/worker_settings.py
@@ -12,7 +12,12 @@
 from martenstep.config import door_pb2 as pb
 
 # Message and field of the limits that apply to the whole gateway; each worker gets an equal share, rounded up.
-SHARED_LIMITS = (("listener", "max_connections"), ("listener", "max_open"), ("upstream", "connections"))
+SHARED_LIMITS = (
+    ("listener", "max_connections"),
+    ("listener", "max_open"),
+    ("listener", "buffer_bytes"),
+    ("upstream", "connections"),
+)
 
 
 def build_worker_settings(settings: pb.Door, worker: int) -> pb.Door:
--- a/tests/test_supervise.py
+++ b/tests/test_supervise.py
@@ -111,6 +111,7 @@
     assert (customer.first_door, customer.doors) == (4, 4) and workers[0].customer[0].doors == 0
     assert workers[2].name == "door-0.2" and workers[2].hooks.history == "h.jsonl.2"
     assert not workers[2].HasField("workers")
+    assert workers[0].listener.buffer_bytes == (64 << 20) // 4
     assert workers[0].upstream.connections == 16 and gateway.workers.count == 4
 
 
