--- a/tests/test_formats_discovery.py
+++ b/tests/test_formats_discovery.py
@@ -46,6 +46,7 @@
                 requests.append(await reader.readuntil(b"\r\n\r\n"))
                 if len(requests) == 2:
                     done.set()
+                    writer.close()
                     return
                 writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(LIST) + LIST)
 
--- a/tests/test_formats_proxy.py
+++ b/tests/test_formats_proxy.py
@@ -240,6 +240,7 @@
         check_requests.append(await peer.reader.readuntil(HEAD_END))
         await peer.send_response("", extra_headers="x-auth-customer: free\r\nx-role: owner\r\nx-other: 1\r\n")
         await peer.read_to_end()
+        peer.close()
 
     async def backend(peer: Peer) -> None:
         sent.append(await peer.reader.readuntil(HEAD_END))
--- a/tests/test_proxy_sockets.py
+++ b/tests/test_proxy_sockets.py
@@ -535,6 +535,7 @@
             await gateway.wait_until(lambda: gateway.server.engine.unanswered == 3)
             over_limit = await gateway.connect()
             assert (await over_limit.read_to_end()).startswith(b"HTTP/1.1 503")
+            over_limit.close()
             release.set()
             for peer in held:
                 assert (await peer.read_response())[0] == 200
