Keys that a gateway makes never repeat, and an error holds up no later event

Cause: the key was the gateway's name and a number that begins anew with each process.

The queue is processed to its end and the error raised then.

--- a/martenstep/proxy/engine/admission.py
+++ b/martenstep/proxy/engine/admission.py
@@ -71,7 +71,7 @@
         client_id = get_header(event.headers, self._dependencies.request_id_header)
         if client_id:
             return client_id.decode("latin-1")[:MAX_CORRELATION_ID_LENGTH]
-        return f"{self._dependencies.name}-{self._state.seed:x}-{policy_id}"
+        return self._state.unique_id(policy_id)
 
     def _request_line(self, event: ev.RequestReceived, correlation_id: str) -> RequestLine | None:
         """The request line to route by; None if it is invalid and the request has been rejected."""
--- a/martenstep/proxy/engine/attempts.py
+++ b/martenstep/proxy/engine/attempts.py
@@ -114,7 +114,7 @@
                 auth_headers,
                 hook_headers,
                 request.correlation_id,
-                request.policy_id,
+                self._state.unique_id(request.policy_id),
                 attempt.number,
                 max(request.deadline - now, 0.0),
                 received.client_address,
--- a/martenstep/proxy/engine/policy_driver.py
+++ b/martenstep/proxy/engine/policy_driver.py
@@ -31,15 +31,24 @@
         """Pass an event to the policy and dispatch the resulting actions.
 
         An event that a handler submits is queued, and passed on once all actions of the current event are dispatched.
+        An unexpected error is raised after the queue has been processed, so that later events are not held up by it.
         """
         events = self._events
         events.append(event)
         if len(events) > 1:
             return
-        handlers = self._handlers
+        failure: Exception | None = None
         while events:
-            for action in self.gateway.handle(self._state.now, events[0]):
-                handler = handlers.get(type(action))
-                if handler is not None:
-                    handler(action)
+            try:
+                self._dispatch(events[0])
+            except Exception as error:
+                failure = failure or error
             events.popleft()
+        if failure is not None:
+            raise failure
+
+    def _dispatch(self, event: api.Event) -> None:
+        for action in self.gateway.handle(self._state.now, event):
+            handler = self._handlers.get(type(action))
+            if handler is not None:
+                handler(action)
--- a/martenstep/proxy/engine/state.py
+++ b/martenstep/proxy/engine/state.py
@@ -30,6 +30,10 @@
         self.extension_points = dependencies.extension_points
         self.deadline_margin_ms, self.max_in_flight = dependencies.deadline_margin_ms, dependencies.max_in_flight
 
+    def unique_id(self, policy_id: str) -> str:
+        """An id for a request that no request of another gateway, or of another start of this one, has."""
+        return f"{self.dependencies.name}-{self.seed:x}-{policy_id}"
+
     def next_serial(self) -> int:
         """The next unused number for a request or a counter call of this engine."""
         self._serial += 1
--- a/martenstep/proxy/stages/upstream_request.py
+++ b/martenstep/proxy/stages/upstream_request.py
@@ -29,7 +29,6 @@
         """
         upstream, listener = gateway_settings.upstream, gateway_settings.listener
         self._via = f"1.1 {gateway_settings.name}".encode()
-        self._name = gateway_settings.name
         self._id_header = listener.request_id_header.lower().encode()
         self._attempt_header = upstream.attempt_header.lower().encode()
         self._key_header = upstream.key_header.lower().encode()
@@ -91,5 +90,5 @@
         if request.client_address:
             headers.append((b"x-forwarded-for", request.client_address.encode()))
         if request.uses_idempotency_key and get_header(headers, self._key_header) is None:
-            headers.append((self._key_header, f"{self._name}-{request.policy_id}".encode()))
+            headers.append((self._key_header, request.unique_id.encode()))
         return headers
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from martenstep.policy import messages as api
 from martenstep.policy.messages import CallResult, EndpointListScope, EndpointState
 from martenstep.proxy import engine_messages as ev
 from martenstep.proxy.engine.timers import RequestDeadline
@@ -425,3 +426,33 @@
     rig.answer_counter_calls(1.0)
     rig.serve(counted)
     assert rig.engine.next_at() != rig.now + 51.0, "the timeout of an answered call is obsolete"
+
+
+def test_keys_that_a_gateway_makes_are_not_made_again_by_its_next_process() -> None:
+    """Guards against a command that servers drop as the repeat of another, from before a restart."""
+    keys = []
+    for seed in (1, 2):
+        rig = Rig(seed=seed)
+        request_id = rig.send("/write/free/1", method="POST")
+        keys.append(header(rig.last_attempt(request_id), "idempotency-key"))
+        rig.fail_attempt(request_id, AttemptFailure.NOT_CONNECTED, written=False)
+        assert header(rig.last_attempt(request_id), "idempotency-key") == keys[-1], "all attempts of a request share it"
+    assert None not in keys and keys[0] != keys[1]
+
+
+def test_an_error_of_the_policy_does_not_hold_up_later_events(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against requests that never get an answer because an event before theirs stays in the queue."""
+    rig = Rig()
+    policy = rig.engine._policy.gateway
+    handle = policy.handle
+
+    def fail_once(now: float, event: api.Event) -> list[api.Action]:
+        monkeypatch.setattr(policy, "handle", handle)
+        raise ValueError("unexpected")
+
+    monkeypatch.setattr(policy, "handle", fail_once)
+    with pytest.raises(ValueError, match="unexpected"):
+        rig.send()
+    request_id = rig.send()
+    rig.serve(request_id)
+    assert len(rig.responses(request_id)) == 1
--- a/tests/test_formats_proxy.py
+++ b/tests/test_formats_proxy.py
@@ -239,8 +239,10 @@
     async def service(peer: Peer) -> None:
         check_requests.append(await peer.reader.readuntil(HEAD_END))
         await peer.send_response("", extra_headers="x-auth-customer: free\r\nx-role: owner\r\nx-other: 1\r\n")
-        await peer.read_to_end()
-        peer.close()
+        try:
+            await peer.read_to_end()
+        finally:
+            peer.close()
 
     async def backend(peer: Peer) -> None:
         sent.append(await peer.reader.readuntil(HEAD_END))
