A discovery whose answers all come late is heard

Cause: a poll was given up after 2.1 s and made again, for ever.

Change: while polls time out the next one's wait doubles, up to the 6 s after which a change counts as told, for a shared service only. Watches keep theirs.

--- a/martenstep/node/discovery.py
+++ b/martenstep/node/discovery.py
@@ -115,6 +115,8 @@
                 if not isinstance(error, OSError | DiscoveryError | ProtocolError):
                     self._log_failure("discovery", error)
                     self._lost = True
+                if isinstance(error, TimeoutError):
+                    self._pace.timed_out()
                 self._poll_failed(error)
                 backoff_ms = self._pace.failed()
                 # After a connection failure the last response is still valid, so the next poll requests the changes
@@ -182,7 +184,7 @@
         writer.write(http.encode_head(b"GET", target, [(b"host", host)]) + http.encode_end())
         self._freshness.poll_started(began_at, is_watch)
         self._check_freshness()
-        body = await self._read_response(reader, http, due_ms + self._timing.response_timeout_ms)
+        body = await self._read_response(reader, http, due_ms + pace.response_timeout_ms(due_ms))
         update = self._follower.apply_response(body)
         self._freshness.poll_succeeded(now_ms())
         late_ms = now_ms() - began_at - due_ms
--- a/martenstep/node/poll_timing.py
+++ b/martenstep/node/poll_timing.py
@@ -32,6 +32,7 @@
     max_watch_ms: float = 0.0  # longest duration of a watch while discovery is overloaded
     yield_age_ms: float = 0.0  # a rejected gateway whose list is newer than this lets others poll first
     overload_delay_ms: float = math.inf  # a response that is later than this indicates overload
+    max_response_timeout_ms: float = 0.0  # the timeout of a poll grows up to this while responses come too late
 
 
 # For an agent on this machine to which lists are pushed: it answers at once or, while discovery is down, not at all.
@@ -42,7 +43,16 @@
 # turn returns no change, although the gateway counts as notified of it.  A silent watch is abandoned within the 6 s of
 # NOTIFIED_AFTER_MS.  After a rejection, a gateway with a new list can wait for 6 s less the time in the queue.
 SERVICE_TIMING = DiscoveryTiming(
-    SERVICE_QUEUE_MS + 100.0, SERVICE_QUEUE_MS, 450.0, 3500.0, 50.0, 600.0, 20_000.0, 4000.0, 150.0
+    SERVICE_QUEUE_MS + 100.0,
+    SERVICE_QUEUE_MS,
+    450.0,
+    3500.0,
+    50.0,
+    600.0,
+    20_000.0,
+    4000.0,
+    150.0,
+    NOTIFIED_AFTER_MS,
 )
 
 
@@ -61,6 +71,19 @@
         self.watch_ms = timing.watch_ms  # duration of the next watch
         self._backoff = Backoff(timing.min_backoff_ms, timing.max_backoff_ms, self._rng)
         self._was_rejected = False  # since the last response
+        self._response_timeout_ms = timing.response_timeout_ms
+
+    def response_timeout_ms(self, due_ms: float) -> float:
+        """How long after it is due the response of a poll is waited for; `due_ms` is the duration of a watch, else 0.
+
+        A watch keeps the shorter timeout: its connection may have fallen silent, and a poll follows it at once.
+        """
+        return self._timing.response_timeout_ms if due_ms else self._response_timeout_ms
+
+    def timed_out(self) -> None:
+        """Record that a response did not come in time: with the same wait the next one might never be read either."""
+        longest = max(self._timing.max_response_timeout_ms, self._timing.response_timeout_ms)
+        self._response_timeout_ms = min(2 * self._response_timeout_ms, longest)
 
     def succeeded(self, late_ms: float | None) -> None:
         """Record a response that came `late_ms` after it was due; None for a watch that returned a change earlier."""
@@ -68,6 +91,8 @@
             self._slow_down()
         elif not self._was_rejected:
             self.watch_ms = max(self.watch_ms * WATCH_DECAY, self._timing.watch_ms)
+        if late_ms is not None and late_ms < self._timing.response_timeout_ms:
+            self._response_timeout_ms = self._timing.response_timeout_ms
         self._backoff.succeeded()
         self._was_rejected = False
 
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -450,6 +450,46 @@
     run(test())
 
 
+@pytest.mark.parametrize("late_s", [0.25, 0.7])
+def test_a_discovery_whose_every_response_is_late_is_heard(late_s: float) -> None:
+    """Guards against drains that are never heard since each response is given up shortly before it comes."""
+    revision = 0
+
+    async def slow(peer: Peer) -> None:
+        nonlocal revision
+        while True:
+            head = await peer.read_head()
+            revision += 1
+            await asyncio.sleep(late_s)
+            state = "ready" if "after=" not in head else "draining"
+            await peer.write(response(list_body(revision, "after=" not in head, endpoint_entry("s-a", state=state))))
+
+    async def test() -> None:
+        timing = DiscoveryTiming(0.0, 100.0, 60_000.0, 50.0, 1.0, 1.0, max_response_timeout_ms=2000.0)
+        lists, _ = await _collect_updates(slow, 2, timing=timing)
+        assert [server.state for server in lists[0].endpoints] == [EndpointState.UP]
+        assert [server.state for server in lists[-1].endpoints] == [EndpointState.DRAINING]
+
+    run(test())
+
+
+def test_the_wait_for_a_late_response_grows_within_the_time_of_notification_and_for_a_shared_service_only() -> None:
+    pace = PollPace(SERVICE_TIMING)
+    waits = []
+    for _ in range(4):
+        waits.append(pace.response_timeout_ms(0.0))
+        pace.timed_out()
+    assert waits == [SERVICE_QUEUE_MS, 2 * SERVICE_QUEUE_MS, NOTIFIED_AFTER_MS, NOTIFIED_AFTER_MS]
+    assert pace.response_timeout_ms(SERVICE_TIMING.watch_ms) == SERVICE_QUEUE_MS
+    pace.succeeded(2500.0)
+    assert pace.response_timeout_ms(0.0) == NOTIFIED_AFTER_MS, "the service is still slow"
+    pace.succeeded(10.0)
+    assert pace.response_timeout_ms(0.0) == SERVICE_QUEUE_MS
+    agent = PollPace(AGENT_TIMING)
+    agent.timed_out()
+    assert agent.response_timeout_ms(0.0) == AGENT_TIMING.response_timeout_ms
+
+
 def test_rejected_polls_are_repeated_with_exponential_backoff(monkeypatch: pytest.MonkeyPatch) -> None:
     waits: list[float] = []
     real = asyncio.sleep
