Another plan for a listed customer is applied on SIGHUP, in use or not

Cause: changes were dropped if their descriptions were equal texts, and an entry's description is its key; the policy never looked at the plan of a state that it had.

Change: values decide what is a change. The policy changes the plan of a state in place, once a second at most, without a fresh burst or ceiling; calls in flight are treated as after a step of the wall clock.

--- a/martenstep/config/changes.py
+++ b/martenstep/config/changes.py
@@ -130,11 +130,12 @@
     changed = [key for key in new if key in old and old[key] != new[key]]
     if not removed and not added and not changed:
         return _describe_entries([], len(before)), _describe_entries([], len(after)) + " in another order"
-    return _describe_entries(removed + changed, len(before)), _describe_entries(added + changed, len(after))
+    values = " with other values" if changed else ""
+    return _describe_entries(removed + changed, len(before)), _describe_entries(added + changed, len(after)) + values
 
 
 def _compare_fields(before: Message, after: Message, prefix: str) -> Iterator[Change]:
-    """Yield the changes of all fields; those whose values are equal and differ only in presence are included."""
+    """Yield the changes of all fields; a value that is stated and equal to the default is no change."""
     for field in cast(Sequence[FieldDescriptor], before.DESCRIPTOR.fields):
         path = f"{prefix}{field.name}"
         old, new = getattr(before, field.name), getattr(after, field.name)
@@ -149,11 +150,11 @@
                 yield Change(path, PRESENCE_TEXT[was_present], PRESENCE_TEXT[is_present], False)
             elif old != new:
                 yield from _compare_fields(old, new, path + ".")
-        elif old != new or before.HasField(field.name) != after.HasField(field.name):
+        elif old != new:
             described_before, described_after = _describe_value(field, old, path), _describe_value(field, new, path)
-            yield Change(path, described_before, described_after, path in LIVE_FIELDS or old == new)
+            yield Change(path, described_before, described_after, path in LIVE_FIELDS)
 
 
 def differences(before: pb.Door, after: pb.Door) -> list[Change]:
     """Return all differences, in the order of the schema."""
-    return [change for change in _compare_fields(before, after, "") if change.before != change.after or not change.live]
+    return list(_compare_fields(before, after, ""))
--- a/martenstep/policy/customer_state.py
+++ b/martenstep/policy/customer_state.py
@@ -46,6 +46,7 @@
         "period",
         "period_total",
         "plan",
+        "plan_since",
         "previous_period_total",
         "quota",
         "report_scheduled",
@@ -58,15 +59,7 @@
 
     def __init__(self, plan: Plan, request: Request, instance: InstanceContext, now: float) -> None:
         """Start with an even share of the burst, because no total was read from the counter yet."""
-        self.plan = plan
-        self.instances = instance_count(request, instance.settings)
-        self.quota = Gcra(plan.rate, plan.burst, now)
-        self.quota.tat = now + self.quota.tolerance_ms * (1 - 1 / self.instances)
-        self.unconfirmed_limiter = Gcra(plan.rate, plan.burst, now)  # reduced to the instance's share before each use
-        self.period = CounterPeriod(request.customer, plan, instance.clock_shift_ms)
-        self.ceiling: CeilingLimiter | None = None
-        if plan.ceiling_rate > 0:
-            self.ceiling = CeilingLimiter(plan, request, instance, self.period, now)
+        self._begin_plan(plan, request, instance, now)
         self.conforming_fraction = INITIAL_CONFORMING_FRACTION  # EWMA over the requests that a counter call decided
         self.own_rate = self.other_instances_rate = 0.0  # EWMA, in units per second
         self.attempts_in_flight = 0
@@ -89,6 +82,39 @@
         self._unconfirmed_before_read = False  # `confirmed` was False before the last total was read
         self._clock_stepped_since_read = False  # the wall clock was stepped after the last total was read
 
+    def _begin_plan(self, plan: Plan, request: Request, instance: InstanceContext, now: float) -> None:
+        self.plan = plan
+        self.plan_since = now
+        self.instances = instance_count(request, instance.settings)
+        self.quota = Gcra(plan.rate, plan.burst, now)
+        self.quota.tat = now + self.quota.tolerance_ms * (1 - 1 / self.instances)
+        self.unconfirmed_limiter = Gcra(plan.rate, plan.burst, now)  # reduced to the instance's share before each use
+        self.period = CounterPeriod(request.customer, plan, instance.clock_shift_ms)
+        self.ceiling: CeilingLimiter | None = None
+        if plan.ceiling_rate > 0:
+            self.ceiling = CeilingLimiter(plan, request, instance, self.period, now)
+
+    def change_plan(self, plan: Plan, request: Request, instance: InstanceContext, now: float) -> None:
+        """Apply another plan.  What was read from the counter and the calls in flight belong to the previous one.
+
+        The used part of the burst is carried over and the ceiling starts exhausted, so that a customer gains nothing by
+        frequent changes.
+        """
+        used_ms, tolerance_ms = max(self.quota.tat - now, 0.0), self.quota.tolerance_ms
+        used_share = min(used_ms / tolerance_ms, 1.0) if tolerance_ms > 0 else 0.0
+        self._begin_plan(plan, request, instance, now)
+        self.quota.tat = max(self.quota.tat, now + used_share * self.quota.tolerance_ms)
+        if self.ceiling:
+            self.ceiling.exhausted_at = max(self.ceiling.exhausted_at, now)
+            self.ceiling.headroom.tat = now + self.ceiling.headroom.tolerance_ms
+        self._forget_totals()
+
+    def _forget_totals(self) -> None:
+        self.confirmed = self.needs_closing_read = False
+        self.period_total = self.previous_period_total = self.indeterminate_units = 0.0
+        self.unreported_units = max(self.unreported_units, 0.0)
+        self.outdated_keys.update(dict.fromkeys(self.calls_in_flight))
+
     def instance_share(self) -> float:
         """The fraction of the quota that this instance may use while no total is read from the counter.
 
@@ -125,10 +151,7 @@
         self._clock_stepped_since_read = True
         if self.ceiling:
             self.ceiling.exhausted_at = exhausted_at
-        self.confirmed = self.needs_closing_read = False
-        self.period_total = self.previous_period_total = self.indeterminate_units = 0.0
-        self.unreported_units = max(self.unreported_units, 0.0)
-        self.outdated_keys.update(dict.fromkeys(self.calls_in_flight))
+        self._forget_totals()
 
     def begin_period(self, number: int) -> None:
         """Switch to another period, whose total was not read yet."""
--- a/martenstep/policy/quota.py
+++ b/martenstep/policy/quota.py
@@ -19,7 +19,7 @@
 from martenstep.policy.counter_period import KEY_LIFETIME_PERIODS, InstanceContext
 from martenstep.policy.customer_state import INITIAL_CONFORMING_FRACTION, CustomerState
 from martenstep.policy.gcra import MS_PER_S
-from martenstep.policy.messages import Action, CallResult, CounterReply, IncrementCounter, Request, Settings
+from martenstep.policy.messages import Action, CallResult, CounterReply, IncrementCounter, Plan, Request, Settings
 
 # After a step of the wall clock, the time until all instances number periods by the new clock: one may stall 150 ms.
 CLOCK_STEP_DETECTION_MS = 250.0
@@ -30,6 +30,8 @@
 # customer starts again with an even share of its burst.
 MAX_CUSTOMERS = 20_000
 DROPPED_SHARE = 0.1
+# Between two changes of a customer's plan: requests may name different ones while a change spreads.
+MIN_PLAN_CHANGE_INTERVAL_MS = 1000.0
 SWEEP_INTERVAL_MS = 2000.0  # between two searches for stale entries
 
 
@@ -71,9 +73,17 @@
             if len(self._customers) >= self._max_customers:
                 self._drop_least_recently_used(now)
             found = self._customers[request.customer] = self._new_customer(now, request)
+        elif request.plan != found.plan.name and now - found.plan_since >= MIN_PLAN_CHANGE_INTERVAL_MS:
+            found.change_plan(self._plan(request.plan), request, self._instance, now)
         found.last_used_at = now
         return found
 
+    def _plan(self, name: str) -> Plan:
+        plan = self._plans.get(name)
+        if plan is None:
+            raise ValueError(f"plan {name!r} is not among the settings")
+        return plan
+
     def _drop_least_recently_used(self, now: float) -> None:
         """Make room for further customers.  Entries that hold calls, attempts or a used ceiling stay."""
         droppable = [key for key, state in self._customers.items() if not state.has_pending_work(now)]
@@ -85,9 +95,7 @@
         self._max_customers = max(MAX_CUSTOMERS, len(self._customers) + step)
 
     def _new_customer(self, now: float, request: Request) -> CustomerState:
-        plan = self._plans.get(request.plan)
-        if plan is None:
-            raise ValueError(f"plan {request.plan!r} is not among the settings")
+        plan = self._plan(request.plan)
         customer = CustomerState(plan, request, self._instance, now)
         customer.conforming_fraction = self._conforming_fractions[plan.name]
         return customer
