A counter that closes what it accepts is dialled with backoff

Cause: each dial counted as a success, which reset the backoff.

Change: the first reply is the success; a connection that ends within a second without one delays the next dial. One that has ended before it was taken into use is not used.

--- a/martenstep/node/counter.py
+++ b/martenstep/node/counter.py
@@ -25,6 +25,7 @@
 IDLE_TIMEOUT_MS = 8000.0
 SWEEP_INTERVAL_S = 0.5
 MIN_BACKOFF_MS, MAX_BACKOFF_MS = 50.0, 1000.0
+MIN_LIFETIME_MS = 1000.0  # a connection that ends earlier without a reply counts as a failed connect
 MAX_LINE_BYTES = 512  # of one reply; a total has few digits
 MAX_TOTAL = 1e15
 CRLF = b"\r\n"
@@ -110,16 +111,22 @@
         self.replies = ReplyReader(owner.replied)
         self.transport: asyncio.Transport | None = None
         self.unsent: list[bytes] = []  # calls for the next write
-        self.active_at = now_ms()  # time of the last reply, or of the first call after none was pending
+        self.connected_at = self.active_at = (
+            now_ms()
+        )  # active: the last reply, or the first call after none was pending
+        self.has_replied = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self.transport = cast(asyncio.Transport, transport)
-        self.active_at = now_ms()
+        self.connected_at = self.active_at = now_ms()
 
     def data_received(self, data: bytes) -> None:
         """Process replies; an invalid one closes the connection."""
         self.active_at = now_ms()
+        if not self.has_replied:
+            self.has_replied = True
+            self._owner.connection_replied()
         try:
             self.replies.feed(data)
         except InvalidReplyError:
@@ -151,6 +158,7 @@
         self._retired: list[_Connection] = []  # to a previous address: replies to their pending calls still count
         self._connect_task: asyncio.Task[None] | None = None
         self._backoff = Backoff(MIN_BACKOFF_MS, MAX_BACKOFF_MS)
+        self._was_refused = False  # the last connection that ended did so at once, without a reply
         self._flush_scheduled = False
         self._sweeper: asyncio.Task[None] | None = None
 
@@ -182,6 +190,7 @@
             self._connect_task.cancel()
             self._connect_task = None
         self._backoff.succeeded()
+        self._was_refused = False
         self._ensure_connecting()
 
     def add(self, call_id: int, key: int, units: float, expire_ms: float, bounds_ceiling: bool) -> None:
@@ -208,8 +217,14 @@
                 out, connection.unsent = connection.unsent, []
                 connection.transport.write(b"".join(out))
 
+    def connection_replied(self) -> None:
+        """Record that the counter serves calls."""
+        self._backoff.succeeded()
+
     def connection_lost(self, connection: _Connection) -> None:
         """Remove a connection that ended; replace it if it was in use."""
+        is_young = now_ms() - connection.connected_at < MIN_LIFETIME_MS
+        self._was_refused = is_young and not connection.has_replied
         if connection in self._connections:
             self._connections.remove(connection)
             self._ensure_connecting()
@@ -223,14 +238,17 @@
     async def _connect(self) -> None:
         loop = asyncio.get_running_loop()
         while len(self._connections) < MAX_CONNECTIONS:
+            if self._was_refused:  # a counter that accepts and closes would be dialled without a pause
+                self._was_refused = False
+                await asyncio.sleep(self._backoff.failed() / MS_PER_S)
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     _, connection = await loop.create_connection(lambda: _Connection(self), *self._address)
             except (OSError, TimeoutError):
                 await asyncio.sleep(self._backoff.failed() / MS_PER_S)
                 continue
-            self._backoff.succeeded()
-            self._connections.append(connection)
+            if connection.transport is not None and not connection.transport.is_closing():
+                self._connections.append(connection)
 
     async def _sweep(self) -> None:
         """Close silent connections, and idle ones before the counter would close them under a call."""
--- a/tests/test_node_counter.py
+++ b/tests/test_node_counter.py
@@ -155,3 +155,49 @@
         new_counter.stop()
 
     run(test())
+
+
+def test_a_counter_that_closes_what_it_accepts_is_dialled_with_backoff() -> None:
+    """Guards against thousands of dials a second, which take the core from requests."""
+
+    async def test() -> None:
+        async def close_at_once(peer: Peer) -> None:
+            peer.close()
+
+        back = ScriptedServer(close_at_once)
+        client = CounterClient(("127.0.0.1", await back.start()), lambda call, result, total: None)
+        client.start()
+        await asyncio.sleep(0.5)
+        client.stop()
+        back.stop()
+        assert 2 <= back.connections <= 30
+        assert client._backoff.next_ms > counter_module.MIN_BACKOFF_MS
+
+    run(test())
+
+
+def test_a_reply_ends_the_backoff() -> None:
+    """A counter that comes back is used at once, and a lost connection to it is replaced without a delay."""
+
+    async def test() -> None:
+        async def answer_one(peer: Peer) -> None:
+            await peer.reader.readuntil(b"ADDGET")
+            await peer.write("$1\r\n1\r\n")
+            await peer.read_to_end()
+
+        back = ScriptedServer(answer_one)
+        results: Results = []
+        client = CounterClient(
+            ("127.0.0.1", await back.start()), lambda call, result, total: results.append((call, result, total))
+        )
+        client._backoff.failed()
+        client.start()
+        await _all_connected(client)
+        client.add(1, 5, 1.0, 1000.0, False)
+        while not results:
+            await asyncio.sleep(0.002)
+        assert results == [(1, CallResult.OK, 1.0)] and client._backoff.next_ms == counter_module.MIN_BACKOFF_MS
+        client.stop()
+        back.stop()
+
+    run(test())
