A scenario ends only when a killed gateway is up again

The runner waits for starts that are under way, within the time that it gives its clients to end.

Test: a restart that takes 3 s longer than the scenario; fails on the text before.

--- a/martenstep/lab/play.py
+++ b/martenstep/lab/play.py
@@ -204,6 +204,7 @@
         self._clients: Process | None = None
         self._started = [0.0] * fleet.servers  # of each server, as in the endpoint list
         self._tasks: list[asyncio.Task[None]] = []
+        self._starting_gateways = 0  # gateways that were restarted and are not ready yet
 
     def _store_process(self) -> Process:
         """The Redis fake, or the project's own counter service."""
@@ -364,6 +365,9 @@
             if time.monotonic() > deadline:
                 raise ScenarioRunError(f"clients: not done {COMPLETION_TIMEOUT_S:g} s after the last arrival")
             await asyncio.sleep(0.1)
+        while self._starting_gateways and time.monotonic() < deadline:  # a start cancelled halfway leaves no trace
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(0)  # the tasks whose gateways have become ready write their events
         self._raise_failed_fault()
 
     def _raise_failed_fault(self) -> None:
@@ -413,7 +417,11 @@
         await self._wait_for_end(event)
         for number in targets:
             self._gateways[number] = self._gateway_process(number)
-            await self._gateways[number].start()
+            self._starting_gateways += 1
+            try:
+                await self._gateways[number].start()
+            finally:
+                self._starting_gateways -= 1
             self._events.write("door up", door=number)
 
     async def _door_killed(self, event: pb.Event, targets: list[int]) -> None:
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections import Counter
 from pathlib import Path
@@ -24,7 +25,7 @@
     server_settings,
     targets_of,
 )
-from martenstep.lab.play import COMMANDED_FAULTS, ScenarioRunner
+from martenstep.lab.play import COMMANDED_FAULTS, Process, ScenarioRunner
 from martenstep.lab.tap import TapError, scenario_from_tap
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -300,6 +301,37 @@
     assert violated.exit_code == 3 and "BROKEN" in violated.output
 
 
+def test_a_scenario_does_not_end_before_a_killed_gateway_is_up_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a start that is cancelled halfway on a busy machine and leaves no trace."""
+    started: list[str] = []
+    start = Process.start
+
+    async def start_again_slowly(process: Process) -> dict[str, int]:
+        if process.name in started:
+            await asyncio.sleep(3.0)  # past the end of the scenario and of its clients
+        started.append(process.name)
+        return await start(process)
+
+    monkeypatch.setattr(Process, "start", start_again_slowly)
+    file, out = tmp_path / "short.txtpb", tmp_path / "out"
+    file.write_text("""
+name: "short" fleet { doors: 2 servers: 2 feed_lag_ms: 50 }
+class { name: "read" aim_ms: 4000 deadline_ms: 8000 }
+work { class: "read" least_ms: 5 most_ms: 10 }
+plan { name: "basic" rate: 5 burst: 10 }
+customers { plan: "basic" number: 5 doors: 2 }
+phase { for_ms: 1000 rate: 10 }
+event { at_ms: 200 trouble: DOOR_KILLED target: 1 for_ms: 100 }
+judge_slack_ms: 4000
+""")
+    run = CliRunner().invoke(cli, ["day", "run", str(file), "--out", str(out)])
+    assert run.exit_code == 0, run.output
+    events = [json.loads(line)["what"] for line in (out / "events.jsonl").read_text().splitlines()]
+    assert events.count("door down") == events.count("door up") == 1
+
+
 def arrivals(phase_fields: str, rate: float = 200.0, for_ms: float = 120_000.0) -> list[float]:
     """The times of the requests in one long phase."""
     head, tail = SCENARIO.split("phase {", 1)
