--- a/martenstep/node/daemon.py
+++ b/martenstep/node/daemon.py
@@ -11,15 +11,13 @@
 import json
 import math
 import os
-import select
 import signal
-import stat
 import sys
 import time
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
-from typing import Any, TextIO, TypeVar
+from typing import Any, TypeVar
 
 from martenstep.discovery.endpoint_list import EndpointListEvent
 from martenstep.node.config import (
@@ -46,9 +44,9 @@
 from martenstep.proxy.clock import MS_PER_S, now_ms
 from martenstep.proxy.engine import Engine
 from martenstep.proxy.engine_messages import CounterReplied
+from martenstep.proxy.log_output import MAX_LINE_BYTES, LogOutput
 from martenstep.proxy.loop_lag import LagSelector
 from martenstep.proxy.server import ProxyServer
-from martenstep.proxy.transport import poll_descriptor
 from martenstep.tasks import start_supervised
 from martenstep.transient_errors import retry_transient
 
@@ -56,7 +54,6 @@
 # The previous process at this address may still be ending.  An address that is not free after this time is not expected
 # to become free, and nine in ten gateways must be ready within 10 s.
 BIND_TIMEOUT_MS, BIND_RETRY_MS = 8000.0, 20.0
-MAX_LINE_BYTES = 4000  # a pipe that is writable accepts 4,096 bytes (POSIX: PIPE_BUF)
 # If discovery rejects the polls, a start waits longer: without a list the gateway could only reject requests.
 REJECTED_TIMEOUT_MS, REJECTED_CHECK_MS = 6000.0, 50.0
 # Before a rejected file is read again.  4 s after SIGHUP the gateway counts as notified of what discovery has at a new
@@ -73,19 +70,13 @@
 Result = TypeVar("Result")
 
 
-def _is_pipe(stream: TextIO) -> bool:
-    with suppress(OSError, ValueError):
-        return stat.S_ISFIFO(os.fstat(stream.fileno()).st_mode)
-    return False
-
-
 class EventLogger:
     """Writes log lines to standard output, at a limited rate and without blocking: logging must not delay a request."""
 
     def __init__(self, max_lines_per_s: int = 20) -> None:
         """Lines above `max_lines_per_s` are dropped."""
         self._max_lines_per_s, self._second, self._count = max_lines_per_s, 0, 0
-        self._writes_to_pipe = _is_pipe(sys.stdout)
+        self._output = LogOutput(sys.stdout)
 
     def log(self, event: str, fields: dict[str, Any]) -> None:
         """Write one line; drop it above the limit."""
@@ -98,11 +89,8 @@
             line = json.dumps({**line_start, **fields}, default=repr)
             if len(line) > MAX_LINE_BYTES:
                 line = json.dumps({**line_start, "cut": line[: MAX_LINE_BYTES // 4]})
-            with suppress(OSError, ValueError):  # the reader has closed the pipe
-                # If the reader has stopped reading and the pipe is full, a write would block the loop and all requests.
-                if not self._writes_to_pipe or poll_descriptor(sys.stdout.fileno(), select.POLLOUT):
-                    sys.stdout.write(line + "\n")
-                    sys.stdout.flush()
+            self._output.write(line + "\n")
+            self._output.flush()
 
 
 class GatewayNode:
--- a/martenstep/proxy/event_logger.py
+++ b/martenstep/proxy/event_logger.py
@@ -9,12 +9,13 @@
 import sys
 import time
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any, Protocol, TextIO, cast
 
 import structlog
 
 from martenstep.config import door_pb2 as pb
 from martenstep.event_log import LogFields
+from martenstep.proxy.log_output import LogOutput
 
 
 class LineLogger(Protocol):
@@ -43,7 +44,7 @@
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             renderer,
         ],
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, LogOutput(sys.stderr))),
         cache_logger_on_first_use=True,
     )
 
--- a/tests/test_fault_calls.py
+++ b/tests/test_fault_calls.py
@@ -15,8 +15,12 @@
 from pathlib import Path
 
 import pytest
+import structlog
 
+from martenstep.config import door_pb2 as pb
 from martenstep.lab.soak.faults import SHORT_COUNT, Call, FaultControl
+from martenstep.proxy import event_logger
+from martenstep.proxy.log_output import LogOutput
 from tests.node_rig import request
 from tests.socket_rig import Peer
 from tests.test_node_gateway import serve_echo
@@ -156,3 +160,32 @@
             assert control.hits(call) > 5
 
     run_test(test())
+
+
+def test_a_log_whose_reader_has_stopped_or_gone_neither_blocks_nor_fails() -> None:
+    """Guards against a full pipe that stops the event loop, and a closed one that fails whoever logs."""
+    reading, writing = os.pipe()
+    with os.fdopen(writing, "w") as stream:
+        output = LogOutput(stream)
+        os.set_blocking(writing, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(writing, b"x" * 4096)
+        os.set_blocking(writing, True)
+        output.write("dropped\n")  # a blocking write would never return
+        output.flush()
+        os.read(reading, 1 << 20)
+        output.write("written\n")
+        output.flush()
+        assert os.read(reading, 100) == b"written\n"
+        os.close(reading)
+        output.write("nobody reads\n")
+        output.flush()
+        output.write("nobody reads\n")
+        with contextlib.suppress(BrokenPipeError):
+            stream.close()
+    structlog_output = structlog.get_config()
+    event_logger.configure(pb.Log.JSON)
+    factory = structlog.get_config()["logger_factory"]
+    assert isinstance(factory._file, LogOutput)
+    structlog.configure(**structlog_output)
--- a/tests/test_node_imports.py
+++ b/tests/test_node_imports.py
@@ -57,6 +57,7 @@
     "martenstep.proxy.endpoint_processes",
     "martenstep.proxy.graceful_shutdown",
     "martenstep.proxy.client_request",
+    "martenstep.proxy.log_output",
     "martenstep.proxy.response_relay",
     "martenstep.proxy.server_state",
     "martenstep.proxy.upstream_connection",
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -28,6 +28,7 @@
 from martenstep.node.daemon import GatewayNode
 from martenstep.node.discovery import DiscoveryClient
 from martenstep.node.poll_timing import DiscoveryTiming
+from martenstep.proxy.log_output import MAX_LINE_BYTES
 from tests.node_rig import SETTINGS, endpoint_entry, raw_config, request
 from tests.socket_rig import Peer, Script, ScriptedServer, run
 from tests.test_node_gateway import serve_counter, serve_echo, serve_list
@@ -457,7 +458,7 @@
         event_logger = daemon.EventLogger(max_lines_per_s=1000)
         event_logger.log("read", {"long": "x" * 10_000})
         line = json.loads(log.readline())
-        assert line["event"] == "read" and len(line["cut"]) < daemon.MAX_LINE_BYTES
+        assert line["event"] == "read" and len(line["cut"]) < MAX_LINE_BYTES
 
         def fill() -> None:
             for number in range(100):
