A stand-alone gateway counts a request's time from its arrival

What was seen (serve, one process and two workers): after a stop of 0.8 s endpoints were told 1,994 ms where 1,200 were left. The platform's daemon counts from the earliest time at which the bytes may have arrived; the stand-alone one had a clock that takes them for new.

--- a/martenstep/cli/main.py
+++ b/martenstep/cli/main.py
@@ -66,15 +66,16 @@
         except ImportError:
             raise click.UsageError("uvloop is not installed: pip install 'martenstep[uvloop]'") from None
         asyncio.set_event_loop_policy(loops.EventLoopPolicy())
-    sys.exit(run(settings, load, seed))
+    sys.exit(run(settings, load, seed, has_loop_policy=uvloop))
 
 
 @cli.command(hidden=True, epilog=example("martenstep worker < frames"))
 def worker() -> None:
     """Run one worker of a supervisor, which controls it over standard input."""
+    from martenstep.proxy.loop_lag import run_with_clock
     from martenstep.supervise.worker import run_worker
 
-    sys.exit(asyncio.run(run_worker()))
+    sys.exit(run_with_clock(run_worker))
 
 
 @cli.group()
--- a/martenstep/proxy/daemon.py
+++ b/martenstep/proxy/daemon.py
@@ -21,6 +21,7 @@
 from martenstep.proxy.engine_messages import CounterReplied
 from martenstep.proxy.event_logger import EventLogger
 from martenstep.proxy.hook_service import HookService
+from martenstep.proxy.loop_lag import LoopClock
 from martenstep.proxy.traces import TraceExporter
 from martenstep.proxy.usage_recorder import UsageRecorder
 from martenstep.redis_counter.redis_client import RedisCounter
@@ -34,8 +35,11 @@
 class Daemon:
     """One gateway with its counter, its discovery and its admin listener."""
 
-    def __init__(self, settings: pb.Door, seed: int | None = None) -> None:
-        """Must be called in a running event loop; raises TlsError.  Without `seed`, a random one is drawn."""
+    def __init__(self, settings: pb.Door, seed: int | None = None, clock: LoopClock | None = None) -> None:
+        """Must be called in a running event loop; raises TlsError.  Without `seed`, a random one is drawn.
+
+        `clock` gives the earliest arrival time of what the event loop finds ready.
+        """
         self.settings = settings
         self.event_logger = EventLogger(settings.log, settings.name)
         self._log_event = self.event_logger.log
@@ -45,7 +49,7 @@
         self._seed = random.SystemRandom().getrandbits(SEED_BITS) if seed is None else seed
         incarnation = random.SystemRandom().getrandbits(SEED_BITS)  # also with a seed: a repeated key drops a command
         self.engine = make_engine(settings, self._seed, self._hook_releases, self._epoch_ms(), incarnation)
-        self.server = make_server(settings, self.engine, self._log_event)
+        self.server = make_server(settings, self.engine, self._log_event, clock)
         self._certificates = Certificates(self.server, self._log_event)
         self.ready = False
         self._redis: RedisCounter | None = None
--- a/martenstep/proxy/engine_factory.py
+++ b/martenstep/proxy/engine_factory.py
@@ -16,6 +16,7 @@
 from martenstep.proxy.dependencies import AuthorizationSettings, EngineDependencies
 from martenstep.proxy.engine import Engine
 from martenstep.proxy.extension_points import HookExtensionPoints
+from martenstep.proxy.loop_lag import LoopClock
 from martenstep.proxy.route_table import GatewayRouteTable
 from martenstep.proxy.server import ProxyServer
 from martenstep.proxy.stages.upstream_request import GatewayMessageBuilder
@@ -127,8 +128,8 @@
     return Engine(make_dependencies(gateway, seed, hook_releases, epoch_ms), seed, hook_releases, incarnation)
 
 
-def make_server(gateway: pb.Door, engine: Engine, log_event: EventLog) -> ProxyServer:
-    """Create a server with a gateway's settings; raises TlsError."""
+def make_server(gateway: pb.Door, engine: Engine, log_event: EventLog, clock: LoopClock | None = None) -> ProxyServer:
+    """Create a server with a gateway's settings; raises TlsError.  `clock` is as for `ProxyServer`."""
     listener, upstream = gateway.listener, gateway.upstream
     server = ProxyServer(
         listener,
@@ -138,6 +139,7 @@
         ServerContext(listener.tls) if listener.HasField("tls") else None,
         ClientContext(upstream.tls) if upstream.HasField("tls") else None,
         upstream.tls.server_name,
+        clock,
     )
     if gateway.HasField("auth"):
         server.set_auth_client(AuthClient(server, gateway.auth))
--- a/martenstep/proxy/loop_lag.py
+++ b/martenstep/proxy/loop_lag.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import selectors
 import time
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 from martenstep.proxy.clock import EPOCH_MS, MS_PER_S, now_ms
 
@@ -36,6 +37,13 @@
         """The earliest time at which anything that the last poll found may have arrived."""
 
 
+def run_with_clock(main: Callable[[LoopClock], Coroutine[Any, Any, int]]) -> int:
+    """Run a coroutine in an event loop that records when it polled, and pass it that clock."""
+    selector = LagSelector()
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(selector)) as runner:
+        return runner.run(main(selector))
+
+
 class UntrackedLoopClock:
     """For an event loop that records neither: assumes that what it finds has just arrived."""
 
--- a/martenstep/supervise/service.py
+++ b/martenstep/supervise/service.py
@@ -17,6 +17,7 @@
 from martenstep.config.tls import TlsError
 from martenstep.proxy.daemon import Daemon, log_loop_error
 from martenstep.proxy.event_logger import EventLogger, configure
+from martenstep.proxy.loop_lag import LoopClock, run_with_clock
 from martenstep.supervise import early_signals, resources
 from martenstep.supervise.pid_file import PidFile, PidFileLockedError
 from martenstep.supervise.process_manager import Notifier
@@ -48,12 +49,12 @@
 
 
 async def serve_one(
-    settings: pb.Door, load: Callable[[], pb.Door] | None, seed: int | None, event_logger: EventLogger
+    settings: pb.Door, load: Callable[[], pb.Door] | None, seed: int | None, clock: LoopClock | None = None
 ) -> int:
-    """Run a gateway in this process; returns the exit code."""
+    """Run a gateway in this process; returns the exit code.  `clock` is that of the event loop, if it has one."""
     notifier = Notifier()
     stop = asyncio.Event()
-    daemon = Daemon(settings, seed)
+    daemon = Daemon(settings, seed, clock)
     asyncio.get_running_loop().set_exception_handler(lambda _, context: log_loop_error(daemon, context))
 
     async def apply(new_settings: pb.Door) -> str:
@@ -125,8 +126,16 @@
     return 0
 
 
-def run(settings: pb.Door, load: Callable[[], pb.Door] | None = None, seed: int | None = None) -> int:
-    """Run a gateway in this process or in workers; `load` reads its settings again.  Returns the exit code."""
+def run(
+    settings: pb.Door,
+    load: Callable[[], pb.Door] | None = None,
+    seed: int | None = None,
+    has_loop_policy: bool = False,
+) -> int:
+    """Run a gateway in this process or in workers; `load` reads its settings again.  Returns the exit code.
+
+    With `has_loop_policy` another event loop than the standard library's was chosen, which records no arrival times.
+    """
     configure(settings.log.form)
     event_logger = EventLogger(settings.log, settings.name)
     pid_file = PidFile(Path(settings.pid_file)) if settings.pid_file else None
@@ -134,8 +143,11 @@
         if pid_file is not None:
             pid_file.acquire()
         resources.apply_limits(settings, event_logger.log)
-        serve = serve_many if settings.workers.count > 1 else serve_one
-        return asyncio.run(serve(settings, load, seed, event_logger))
+        if settings.workers.count > 1:
+            return asyncio.run(serve_many(settings, load, seed, event_logger))
+        if has_loop_policy:
+            return asyncio.run(serve_one(settings, load, seed))
+        return run_with_clock(lambda clock: serve_one(settings, load, seed, clock))
     except (TlsError, PidFileLockedError, resources.ResourceError) as error:
         event_logger.log("cannot start", {"error": str(error)})
         return EXIT_CANNOT_START
--- a/martenstep/supervise/worker.py
+++ b/martenstep/supervise/worker.py
@@ -17,6 +17,7 @@
 from martenstep.config.tls import TlsError
 from martenstep.proxy.daemon import Daemon, log_loop_error
 from martenstep.proxy.event_logger import EventLogger, configure
+from martenstep.proxy.loop_lag import LoopClock
 from martenstep.supervise.protocol import (
     CommitSettings,
     PrepareSettings,
@@ -88,8 +89,8 @@
     return reader
 
 
-async def run_worker() -> int:
-    """Serve until SIGTERM, SIGINT or the end of the input; returns the exit code."""
+async def run_worker(clock: LoopClock) -> int:
+    """Serve until SIGTERM, SIGINT or the end of the input; returns the exit code.  `clock` is the event loop's."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -105,7 +106,7 @@
     settings = _parse_settings(start.settings)
     configure(settings.log.form)
     try:
-        daemon = Daemon(settings, start.seed)
+        daemon = Daemon(settings, start.seed, clock)
         loop.set_exception_handler(lambda _, context: log_loop_error(daemon, context))
         listener = socket.socket(fileno=start.socket) if start.socket >= 0 else None
         await daemon.start(listener, start.reuse_port)
