A request under the id of another is recorded as one of its own

Cause: the service knows a record by its id, so that one that is delivered again counts once, and the id is the client's.

Forms on the wire and on disk stay. Left: the same id at two gateways, since the key of a record in the replicated state cannot change without all replicas changing at once.

--- a/martenstep/proxy/engine/attempts.py
+++ b/martenstep/proxy/engine/attempts.py
@@ -12,6 +12,7 @@
 from martenstep.proxy.dependencies import UpstreamRequest
 from martenstep.proxy.engine.endpoints import EndpointAddresses
 from martenstep.proxy.engine.policy_driver import PolicyDriver
+from martenstep.proxy.engine.record_ids import RecordIds
 from martenstep.proxy.engine.request import Attempt, InFlightRequest, UpstreamTarget
 from martenstep.proxy.engine.responses import Responses
 from martenstep.proxy.engine.state import EngineState
@@ -33,6 +34,7 @@
         """`endpoints` has the addresses of the listed endpoints."""
         self._state, self._policy, self._responses, self._endpoints = state, policy, responses, endpoints
         self._dependencies = state.dependencies
+        self._record_ids = RecordIds()
         self._messages = state.dependencies.message_builder
         self._classify = state.dependencies.status_classifier.classify
         # Called with the id of each request whose first attempt starts.
@@ -85,7 +87,7 @@
         route = request.route
         self._state.actions.append(
             ev.RecordUsage(
-                request.correlation_id,
+                self._record_ids.choose(request.correlation_id, self._state.unique_id(request.policy_id)),
                 route.customer_key,
                 route.plan.name,
                 route.request_class.name,
--- a/martenstep/proxy/engine_messages.py
+++ b/martenstep/proxy/engine_messages.py
@@ -250,7 +250,7 @@
 class RecordUsage:
     """Record once that a request was forwarded."""
 
-    correlation_id: str
+    correlation_id: str  # extended if another request bore it, so that this one has a record of its own
     customer: str
     plan: str
     request_class: str
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -456,3 +456,14 @@
     request_id = rig.send()
     rig.serve(request_id)
     assert len(rig.responses(request_id)) == 1
+
+
+def test_a_request_under_the_id_of_another_is_recorded_as_one_of_its_own() -> None:
+    """Guards against a customer whose requests are served and never recorded, under the id of another's request."""
+    rig = Rig("counter { port: 1 journal: 'j' }")
+    for _ in range(3):
+        rig.serve(rig.send("/read/1", x_request_id="t1"))
+    rig.serve(rig.send("/read/1", x_request_id="t2"))
+    ids = [usage.correlation_id for usage in rig.actions_of(ev.RecordUsage)]
+    assert ids[0] == "t1" and ids[3] == "t2" and len(set(ids)) == 4
+    assert all(one.startswith("t1~door-0-") for one in ids[1:3])
--- a/tests/test_node_imports.py
+++ b/tests/test_node_imports.py
@@ -69,6 +69,7 @@
     "martenstep.proxy.engine.endpoints",
     "martenstep.proxy.engine.engine",
     "martenstep.proxy.engine.policy_driver",
+    "martenstep.proxy.engine.record_ids",
     "martenstep.proxy.engine.request",
     "martenstep.proxy.engine.responses",
     "martenstep.proxy.engine.state",
