A stop does not cross the first request of a new connection

Cause, by reading: a connection that was just accepted and has sent nothing yet was closed as idle as soon as the gateway stops, while its first request was on its way; and some turns of the event loop lay between a listener's last look at its queue and the close.

Test: a request 50 ms after the stop on a connection that stood before it; reset unanswered on the text before.

--- a/martenstep/proxy/graceful_shutdown.py
+++ b/martenstep/proxy/graceful_shutdown.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from martenstep.proxy.acceptor import Acceptor
+from martenstep.proxy.acceptor import MIN_AGE_TO_CLOSE_MS, Acceptor
+from martenstep.proxy.client_connection import ClientConnection
 from martenstep.proxy.clock import MS_PER_S, now_ms
 from martenstep.proxy.server_state import ServerState
 
@@ -41,7 +42,7 @@
         deadline = now_ms() + timeout_ms
         while True:
             # Clients that cannot be closed: each has a request, or unread bytes that may belong to one.
-            open_clients = [client for client in state.clients if not (client.closing or client.close_idle())]
+            open_clients = [client for client in state.clients if not (client.closing or self._close_idle(client))]
             if now_ms() >= deadline or not (state.engine.unanswered or open_clients):
                 break
             await asyncio.sleep(STATE_POLL_S)
@@ -49,6 +50,11 @@
         state.perform(state.engine.stop(now_ms()))
         return all_answered
 
+    def _close_idle(self, client: ClientConnection) -> bool:
+        """Close a connection between two requests; not a new one whose first request may still be in transit."""
+        is_young = client in self._state.new_clients and now_ms() - client.waiting_since < MIN_AGE_TO_CLOSE_MS
+        return not is_young and client.close_idle()
+
     async def close_clients(self) -> None:
         """Wait until clients have read their last responses and closed, then close the remaining connections."""
         deadline = now_ms() + CLIENT_CLOSE_MS
--- a/martenstep/proxy/listener.py
+++ b/martenstep/proxy/listener.py
@@ -95,6 +95,8 @@
 
     def _pause(self) -> None:
         """Stop accepting for ACCEPT_RETRY_S: the socket stays readable, and the event loop would spin on it."""
+        if not self.accepting:  # `close` looks again by itself
+            return
         self._loop.remove_reader(self._socket.fileno())
         self._retry_timer = self._loop.call_later(ACCEPT_RETRY_S, self._resume)
 
@@ -127,6 +129,9 @@
             self._retry_timer.cancel()
         else:
             self._loop.remove_reader(self._socket.fileno())
-        while self._connect_tasks:
+        # Nothing stands between the last look at the queue and the close.
+        while self._connect_tasks or (has_pending_connections(self._socket) and self._loop.time() < deadline):
+            if self._loop.time() < deadline:
+                self._accept_ready()
             await asyncio.sleep(0)
         self._socket.close()
--- a/tests/test_fault_serve.py
+++ b/tests/test_fault_serve.py
@@ -17,7 +17,7 @@
 from martenstep.lab.ports import reserve_ports
 from martenstep.proxy.daemon import Daemon
 from tests.engine_rig import gateway_settings
-from tests.socket_rig import Peer, Script, ScriptedServer, run
+from tests.socket_rig import Peer, Script, ScriptedServer, request_head, run, running_gateway
 from tests.test_fault_pauses import DEADLINE_MS, GATEWAY_DELAY_S, PAUSE_S, TEST_DELAY_S
 
 TEST_TIMEOUT_S = 60.0
@@ -118,3 +118,25 @@
         assert first._state.unique_id("1") != second._state.unique_id("1")
 
     run(test())
+
+
+def test_a_request_on_a_connection_that_was_just_made_is_answered_as_the_gateway_stops() -> None:
+    """Guards against a close that crosses the first request of a new connection."""
+
+    async def backend(peer: Peer) -> None:
+        while True:
+            await peer.read_head()
+            await peer.send_response()
+
+    async def test() -> None:
+        async with running_gateway(backend) as gateway:
+            peer = await gateway.connect()
+            await gateway.wait_until(lambda: bool(gateway.server.clients))
+            stopping = asyncio.create_task(gateway.server.stop(1000.0))
+            await asyncio.sleep(0.05)
+            await peer.write(request_head())
+            assert (await peer.read_response())[0] in (200, 503)
+            peer.close()
+            await stopping
+
+    run(test())
