Tests: a gateway process that exits before it is awaited fails with its log

Both loops of the rig that sleep wait for a process for ever, also for one that has exited; what was seen cannot tell that from a gateway that hangs. They now fail with the exit status and the last lines of the log, so that the next failure can be traced.

--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -79,11 +79,17 @@
         return [line["event"] for line in self.lines]
 
     async def wait_for_event(self, event: str) -> dict[str, Any]:
-        """Wait for a logged event and return its first line."""
+        """Wait for a logged event and return its first line; fails with the log if the process exits without it."""
         while event not in self.events():
+            self._check_running(event)
             await asyncio.sleep(0.005)
         return next(line for line in self.lines if line["event"] == event)
 
+    def _check_running(self, awaited: str) -> None:
+        assert self._process is not None and self._reading is not None
+        if self._process.returncode is not None and self._reading.done() and awaited not in self.events():
+            raise AssertionError(f"exited with {self._process.returncode} before {awaited}: {self.lines[-5:]}")
+
     async def wait_for_exit(self) -> int:
         """Wait for the process to exit and return its status."""
         assert self._process is not None and self._reading is not None
@@ -104,6 +110,7 @@
             try:
                 return Peer(*await asyncio.open_connection("127.0.0.1", self.port))
             except ConnectionError:
+                self._check_running("a connection")
                 await asyncio.sleep(0.005)
 
     async def fetch(self, text: str) -> tuple[int, str, bytes]:
