A client that sends at full speed reads the answer to its oversized body

Change: after these bytes nothing more is read, and the connection stays until its client ends it or the linger of a second is over; the kernel is asked for its end meanwhile.

--- a/martenstep/proxy/client_connection.py
+++ b/martenstep/proxy/client_connection.py
@@ -29,8 +29,8 @@
 if TYPE_CHECKING:
     from martenstep.proxy.connection_owner import ConnectionOwner
 
-# Bytes of an unread body that are discarded before the close: a close with unread bytes sends a reset, which can
-# destroy a response that the client has not read yet.
+# Bytes of an unread body that are discarded before the close, so that a client that sends at full speed does not take
+# the processor: a close with unread bytes sends a reset, which can destroy a response that the client has not read yet.
 MAX_LINGER_BYTES = 262_144
 LINGER_MS = 1000.0
 REJECTED_LINGER_MS = 300.0  # time for a connection over the limit to read its response
@@ -378,7 +378,7 @@
         self.update_buffers()
         with suppress(TimeoutError):
             async with asyncio.timeout(timeout_ms / MS_PER_S):
-                await self.reader.discard_until_end(MAX_LINGER_BYTES)
+                await self.reader.discard_until_end(MAX_LINGER_BYTES, self.writer.transport)
 
     def _shut_down_writing(self) -> None:
         with suppress(OSError, RuntimeError):
--- a/martenstep/proxy/transport.py
+++ b/martenstep/proxy/transport.py
@@ -27,6 +27,7 @@
 DISCONNECTED_EVENTS = LOST_EVENTS | select.POLLRDHUP  # the other side has shut down writing or closed
 ARRIVAL_MERGE_MS = 10.0  # bytes that arrive this soon after others share their arrival time
 ACCEPT_ARRIVAL_MS = 20.0  # bytes read this soon after the accept may have arrived with the connection
+END_POLL_S = 0.05  # between two looks for the end of a connection that is not read
 READ_BYTES = 65_536  # the size of one read, and the bytes that a stream buffers before it pauses reading
 
 
@@ -117,20 +118,30 @@
         self._maybe_resume_transport()  # type: ignore[attr-defined]
         self._wakeup_waiter()  # type: ignore[attr-defined]
 
-    async def discard_until_end(self, max_bytes: int) -> None:
-        """Discard what is received until the other side has ended, or has sent more than `max_bytes`."""
+    async def discard_until_end(self, max_bytes: int, transport: asyncio.BaseTransport) -> None:
+        """Discard what is received until the other side has ended.
+
+        After `max_bytes` nothing more is read, and the kernel is asked at intervals for the end of the connection.
+        """
         self.discard_all()
         finished, received = asyncio.Event(), 0
 
         def count(data: bytes) -> None:
             nonlocal received
             received += len(data)
-            if not data or received > max_bytes:
+            if not data:
                 finished.set()
+            elif received > max_bytes and not transport.is_closing():
+                cast(asyncio.ReadTransport, transport).pause_reading()
 
         self.on_data = count
-        if not self.ended:
-            await finished.wait()
+        descriptor = transport.get_extra_info("socket").fileno()
+        while not (self.ended or transport.is_closing() or finished.is_set()):
+            with suppress(TimeoutError):
+                async with asyncio.timeout(END_POLL_S):
+                    await finished.wait()
+            if received > max_bytes and poll_descriptor(descriptor, DISCONNECTED_EVENTS):
+                return
 
     def release(self) -> None:
         """Drop the buffer and all callbacks of a connection that is closed.
--- a/tests/test_fault_memory.py
+++ b/tests/test_fault_memory.py
@@ -186,6 +186,33 @@
     run(test())
 
 
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_client_that_sends_an_oversized_body_at_full_speed_reads_its_answer(tmp_path: Path, kind: str) -> None:
+    """Guards against a close right after the answer, whose reset destroys it: most of the body is never read."""
+
+    async def send(gateway: Subject) -> int:
+        peer = await gateway.connect()
+
+        async def push() -> None:
+            with contextlib.suppress(ConnectionError):
+                for _ in range(300):
+                    await peer.write(b"x" * 65_536)
+
+        await peer.write(gateway.post(60_000_000))
+        pushing = asyncio.create_task(push())
+        await asyncio.sleep(0.2)  # the client looks for an answer only now
+        status, _, _ = await peer.read_response()
+        pushing.cancel()
+        peer.reset()
+        return status
+
+    async def test() -> None:
+        async with subject(kind, tmp_path) as gateway:
+            assert await asyncio.gather(*(send(gateway) for _ in range(8))) == [413] * 8
+
+    run(test())
+
+
 class _Holder:
     """A connection of the budget's own tests; `fixed` bytes cannot be shed."""
 
