The transport of a lost connection is free at once as well

Cause: the standard library's transport keeps a bound method of its own as its callback, so that each closed connection left 1 KB to the collector of cycles, whose oldest generation `run` hardly ever looks at.

Change: WatchedProtocol drops that reference when the connection is lost, for clients and endpoints; uvloop's transports have none. The transport inside TLS is not reached by it.

Test: the six of test_fault_memory look at the transport too; all fail on the text before.

--- a/martenstep/proxy/transport.py
+++ b/martenstep/proxy/transport.py
@@ -198,6 +198,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection in both directions."""
+        release_transport(self._transport)  # type: ignore[attr-defined]  # the base class has no public name for it
         super().connection_lost(exc)
         if self.on_lost is not None:
             self.on_lost()
@@ -272,6 +273,15 @@
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def release_transport(transport: asyncio.BaseTransport | None) -> None:
+    """Break the reference of a lost connection's transport to itself, so that its memory is free at once.
+
+    The standard library's keeps a bound method of its own as the callback for readiness; uvloop's has none.
+    """
+    if transport is not None and hasattr(transport, "_read_ready_cb"):
+        transport._read_ready_cb = None
+
+
 def limit_read_size(transport: asyncio.BaseTransport) -> None:
     """Let the event loop read at most READ_BYTES at once, so that a stream's buffer exceeds its limit by no more.
 
--- a/tests/test_fault_memory.py
+++ b/tests/test_fault_memory.py
@@ -17,7 +17,6 @@
 from martenstep.node.config import BYTES_PER_MB
 from martenstep.proxy.acceptor import Acceptor
 from martenstep.proxy.buffer_budget import BufferBudget
-from martenstep.proxy.client_connection import ClientConnection
 from martenstep.proxy.server import ProxyServer
 from tests.node_rig import SETTINGS, make_config, request
 from tests.socket_rig import Peer, Script, request_head, run, running_gateway
@@ -105,12 +104,13 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, kind: str, client: Callable[[Subject], object]
 ) -> None:
     """Guards against closed connections that keep their buffers until a rare collection, past the memory limit."""
-    seen: list[weakref.ref[ClientConnection]] = []
+    seen: list[weakref.ref[object]] = []
     connected = Acceptor._client_connected
 
     def remember(acceptor: Acceptor, *streams: object) -> None:
         connected(acceptor, *streams)  # type: ignore[arg-type]
         seen.extend(weakref.ref(client) for client in acceptor._state.clients)
+        seen.extend(weakref.ref(client.writer.transport) for client in acceptor._state.clients)
 
     monkeypatch.setattr(Acceptor, "_client_connected", remember)
 
@@ -122,7 +122,7 @@
                 for _ in range(5):
                     await client(gateway)  # type: ignore[misc]
                 await wait_until(lambda: not gateway.server.clients)
-                await wait_until(lambda: len(seen) >= 5 and not any(reference() for reference in seen))
+                await wait_until(lambda: len(seen) >= 10 and not any(reference() for reference in seen))
                 assert gateway.server.state.buffers.held_bytes == 0
             finally:
                 gc.enable()
