Idle connections are not measured again, a refusal at once needs no task

A connection over the limit that gets no linger is closed in the same turn again, as before, instead of by a task, which also counted among the lingering ones. Constants stand at the head of their modules; one line of the counter's client is read from left to right again.

--- a/martenstep/auth/messages.py
+++ b/martenstep/auth/messages.py
@@ -6,6 +6,10 @@
 from enum import Enum
 from typing import Any
 
+# Headers of a denial that the service made for one client: a session, or where it goes on with its own request.
+PERSONAL_HEADERS = frozenset((b"set-cookie", b"location"))
+UNAUTHORIZED = 401
+
 
 @dataclass(frozen=True, slots=True)
 class Unasked:
@@ -31,11 +35,6 @@
     initial_breaker_open_ms: float = 500.0  # how long a circuit breaker stays open when it opens for the first time
 
 
-# Headers of a denial that the service made for one client: a session, or where it goes on with its own request.
-PERSONAL_HEADERS = frozenset((b"set-cookie", b"location"))
-UNAUTHORIZED = 401
-
-
 class Reason(Enum):
     """Why there is no verdict; logs and error responses contain the value."""
 
--- a/martenstep/node/counter.py
+++ b/martenstep/node/counter.py
@@ -111,9 +111,8 @@
         self.replies = ReplyReader(owner.replied)
         self.transport: asyncio.Transport | None = None
         self.unsent: list[bytes] = []  # calls for the next write
-        self.connected_at = self.active_at = (
-            now_ms()
-        )  # active: the last reply, or the first call after none was pending
+        self.connected_at = now_ms()
+        self.active_at = self.connected_at  # time of the last reply, or of the first call after none was pending
         self.has_replied = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/martenstep/proxy/acceptor.py
+++ b/martenstep/proxy/acceptor.py
@@ -87,8 +87,10 @@
 
     def _reject(self, client: ClientConnection) -> None:
         self._state.counts["connections_turned_away"] += 1
-        lingers = len(self._rejection_tasks) < MAX_CONCURRENT_REJECTIONS
-        task = self._state.loop.create_task(client.reject(lingers))
+        if len(self._rejection_tasks) >= MAX_CONCURRENT_REJECTIONS:
+            client.close_rejected()
+            return
+        task = self._state.loop.create_task(client.reject())
         self._rejection_tasks.add(task)
         task.add_done_callback(self._rejection_tasks.discard)
 
--- a/martenstep/proxy/buffer_budget.py
+++ b/martenstep/proxy/buffer_budget.py
@@ -18,6 +18,9 @@
     def shed_buffers(self) -> bool:
         """Give up what is buffered for an incomplete message; False if nothing can be given up now."""
 
+    def update_buffers(self) -> None:
+        """Tell the budget how much is held now."""
+
 
 class BufferBudget:
     """The bytes held by each connection, and their limit."""
@@ -45,6 +48,11 @@
         if self.exhausted and not self._is_shedding:
             self._shed()
 
+    def refresh(self) -> None:
+        """Have the connections that hold something say again how much: the kernel has taken bytes since."""
+        for holder in list(self._held):
+            holder.update_buffers()
+
     def _shed(self) -> None:
         """Shed the connections that hold the most, among equals the oldest, until enough is free."""
         self._is_shedding = True
--- a/martenstep/proxy/client_connection.py
+++ b/martenstep/proxy/client_connection.py
@@ -351,11 +351,15 @@
         self._shut_down_writing()
         self.reader.discard_all()
 
-    async def reject(self, lingers: bool) -> None:
+    async def reject(self) -> None:
         """Answer a connection over the limit, and linger: an unread request would turn the close into a reset."""
         self.send_local_reply(UNAVAILABLE, "full house")
-        if lingers:
-            await self._linger(REJECTED_LINGER_MS)
+        await self._linger(REJECTED_LINGER_MS)
+        self.close_rejected()
+
+    def close_rejected(self) -> None:
+        """Answer a connection over the limit, if that was not done yet, and close it at once."""
+        self.send_local_reply(UNAVAILABLE, "full house")
         self.writer.close()
         self._release()
 
--- a/martenstep/proxy/engine/timers.py
+++ b/martenstep/proxy/engine/timers.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+MIN_COMPACT_SIZE = 1024  # timers from which on obsolete ones are searched for
+
 
 @dataclass(slots=True)
 class CounterTimeout:
@@ -40,9 +42,6 @@
 Timer = CounterTimeout | RequestDeadline | ConnectTimeout | PolicyTimer
 
 
-MIN_COMPACT_SIZE = 1024  # timers from which on obsolete ones are searched for
-
-
 class TimerQueue:
     """Timers in order of due time; timers with the same due time keep the order in which they were scheduled."""
 
--- a/martenstep/proxy/server.py
+++ b/martenstep/proxy/server.py
@@ -135,8 +135,7 @@
                 self.auth_client.pool.close_expired()
             self._acceptor.close_expired(now)
             self._relay.fail_stalled(now)
-            for client in list(self.state.clients):
-                client.update_buffers()
+            self.state.buffers.refresh()
 
     def handle(self, event: ev.Event) -> None:
         """Pass an event to the engine and perform the actions that it returns."""
--- a/tests/test_fault_memory.py
+++ b/tests/test_fault_memory.py
@@ -217,9 +217,12 @@
     """A connection of the budget's own tests; `fixed` bytes cannot be shed."""
 
     def __init__(self, budget: BufferBudget, held: int, fixed: int = 0) -> None:
-        self.budget, self.fixed, self.shed = budget, fixed, False
+        self.budget, self.held, self.fixed, self.shed = budget, held, fixed, False
         budget.update(self, held)
 
+    def update_buffers(self) -> None:
+        self.budget.update(self, self.held)
+
     def shed_buffers(self) -> bool:
         self.shed = not self.fixed
         if self.shed:
@@ -236,6 +239,9 @@
     assert large.shed and not small.shed and budget.held_bytes == 54 and not budget.exhausted
     budget.update(fixed, 200)
     assert small.shed and budget.exhausted and budget.held_bytes == 200
+    fixed.held = 20
+    budget.refresh()
+    assert not budget.exhausted and budget.held_bytes == 20
     budget.update(fixed, 0)
     assert not budget.exhausted and budget.held_bytes == 0
 
